--- /dev/null
+++ b/modules/core/core.h
@@ -0,0 +1,15 @@
+#pragma once
+
+// Types that every other module uses: strong ids and units, typed errors, time,
+// seeded random numbers. Needs: the standard library, tl::expected and xxHash.
+// No threads, sockets or clocks, except that time/time.h offers readings of the
+// system's clocks to the programs that wire modules together.
+
+#include "core/errors/error.h"
+#include "core/hash/hash.h"
+#include "core/ids/ids.h"
+#include "core/ids/strong_integer.h"
+#include "core/ids/strong_string.h"
+#include "core/random/random.h"
+#include "core/time/time.h"
+#include "core/variant/overloaded.h"
--- /dev/null
+++ b/modules/core/tests/core_tests.cc
@@ -0,0 +1,67 @@
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <type_traits>
+
+#include "core/core.h"
+
+namespace dotterellug {
+namespace {
+
+static_assert(!std::is_convertible_v<ModelId, ClientAccountId>,
+              "ids of different kinds must not convert into each other");
+static_assert(!std::is_convertible_v<Tokens, Bytes>,
+              "units must not convert into each other");
+
+// Guards against seeds that do not reproduce a run.
+TEST(RandomTest, SameSeedGivesSameSequence) {
+  Random first(42);
+  Random second(42);
+  for (int i = 0; i < 1000; ++i) ASSERT_EQ(first.Next(), second.Next());
+}
+
+// Guards against an assignment that reshuffles all keys when one member leaves.
+TEST(RendezvousTest, RemovingAnotherCandidateKeepsTheChoice) {
+  const std::set<std::string> all{"a", "b", "c", "d", "e"};
+  const auto choose = [](const std::set<std::string>& candidates,
+                         const std::string& key) {
+    std::string best;
+    std::uint64_t best_weight = 0;
+    for (const auto& candidate : candidates) {
+      const auto weight = RendezvousWeight(key, candidate);
+      if (best.empty() || weight > best_weight) {
+        best = candidate;
+        best_weight = weight;
+      }
+    }
+    return best;
+  };
+  for (int i = 0; i < 200; ++i) {
+    const auto key = "key" + std::to_string(i);
+    const auto before = choose(all, key);
+    for (const auto& removed : all) {
+      if (removed == before) continue;
+      auto rest = all;
+      rest.erase(removed);
+      ASSERT_EQ(choose(rest, key), before);
+    }
+  }
+}
+
+// Guards against an error text that leaves out the remedy.
+TEST(ErrorTest, TextContainsMessageAndRemedy) {
+  const Error error{ErrorKind::kConflict, "revision 7 is not the latest",
+                    "fetch revision 8"};
+  EXPECT_EQ(error.Text(), "revision 7 is not the latest; fetch revision 8");
+  EXPECT_EQ(ErrorKindName(error.kind), "conflict");
+}
+
+TEST(TimeTest, FormatsWallTimeAsUtc) {
+  EXPECT_EQ(
+      FormatWallTime(WallTime(std::chrono::milliseconds(1'700'000'000'123))),
+      "2023-11-14T22:13:20.123Z");
+}
+
+}  // namespace
+}  // namespace dotterellug
--- /dev/null
+++ b/modules/core/time/time.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+namespace dotterellug {
+
+using Duration = std::chrono::microseconds;
+
+// A point on the monotonic clock of one process. Decision code receives it as
+// an argument and never reads a clock. Points of different processes cannot be
+// compared.
+using Timestamp = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+// Calendar time for records that people read. Never used to decide an order of
+// events.
+using WallTime = std::chrono::time_point<std::chrono::system_clock,
+                                         std::chrono::milliseconds>;
+
+// Clock readings for adapters and programs; decision modules and tests do not
+// call them.
+auto MonotonicNow() -> Timestamp;
+auto WallNow() -> WallTime;
+
+// `time` as ISO 8601 in UTC with milliseconds, for logs and history.
+auto FormatWallTime(WallTime time) -> std::string;
+
+inline auto ToSeconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+inline auto FromSeconds(double seconds) -> Duration {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace dotterellug
