Add the port to the object API

Cause: configuration, ownership and claims need conditional updates and watches of the platform's object API. Updates use a new connection each, because cxxtools resends a request on a reused connection that the peer closed. Conclusion: modules can be written against the port; nothing has run against a server yet.

--- /dev/null
+++ b/modules/store/http/http_object_store.cc
@@ -0,0 +1,282 @@
+#include "store/http/http_object_store.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/ioerror.h>
+
+#include <exception>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace dotterellug {
+namespace {
+
+using Json = nlohmann::json;
+
+auto ToMilliseconds(Duration duration) -> cxxtools::Milliseconds {
+  return cxxtools::Milliseconds(ToSeconds(duration) * 1000.0);
+}
+
+auto ObjectPath(const std::string& name) -> std::string {
+  return "/v1/objects/" + name;
+}
+
+auto Condition(ObjectVersion expected) -> std::string {
+  return "if_version=" + std::to_string(expected.Value());
+}
+
+// The kind that a status stands for; empty for one that does not say whether
+// the request was carried out.
+auto KindOfStatus(unsigned status) -> std::optional<ErrorKind> {
+  switch (status) {
+    case 400:
+      return ErrorKind::kInvalidArgument;
+    case 404:
+      return ErrorKind::kNotFound;
+    case 409:
+      return ErrorKind::kConflict;
+    case 410:
+      return ErrorKind::kCompacted;
+    case 413:
+      return ErrorKind::kTooLarge;
+    case 429:
+      return ErrorKind::kExhausted;
+    case 503:
+      return ErrorKind::kUnavailable;
+    default:
+      return std::nullopt;
+  }
+}
+
+auto RemedyFor(ErrorKind kind) -> std::string {
+  switch (kind) {
+    case ErrorKind::kConflict:
+      return "read it again and repeat the change";
+    case ErrorKind::kCompacted:
+      return "list the objects and watch from the list's position";
+    case ErrorKind::kUnavailable:
+    case ErrorKind::kExhausted:
+    case ErrorKind::kDeadlineExceeded:
+      return "repeat later";
+    case ErrorKind::kOutcomeUnknown:
+      return "read the object again before repeating";
+    default:
+      return "check the request and the address of the object API";
+  }
+}
+
+auto FailWith(ErrorKind kind, std::string message) -> tl::unexpected<Error> {
+  return Fail(kind, std::move(message), RemedyFor(kind));
+}
+
+// The failure that an error response states. A body without error kind may
+// come from an intermediary, which does not know whether the request was done.
+auto StatedFailure(unsigned status, const std::string& body)
+    -> std::optional<Error> {
+  const auto kind = KindOfStatus(status);
+  const auto json = Json::parse(body, nullptr, false);
+  if (!kind || !json.is_object() || !json.contains("error")) {
+    return std::nullopt;
+  }
+  const auto& error = json["error"];
+  if (!error.is_object() || error.value("type", "") != ErrorKindName(*kind)) {
+    return std::nullopt;
+  }
+  return Error{*kind, error.value("message", "no message"), RemedyFor(*kind)};
+}
+
+// Whether cxxtools could not connect, so that no byte of the request left. It
+// throws the same type for this as for a broken connection and differs only in
+// the text; another text is treated as a broken connection, which is the safe
+// side.
+auto IsConnectFailure(std::string_view message) -> bool {
+  return message.find("failed to connect to") != std::string_view::npos;
+}
+
+auto ParseRecord(const Json& json) -> ObjectRecord {
+  return ObjectRecord{json.at("name").get<std::string>(),
+                      ObjectVersion(json.at("version").get<std::int64_t>()),
+                      json.at("value").get<std::string>()};
+}
+
+auto ParseEvent(const Json& json) -> ObjectEvent {
+  return ObjectEvent{json.at("name").get<std::string>(),
+                     ObjectVersion(json.at("version").get<std::int64_t>()),
+                     json.value("value", ""), json.value("deleted", false)};
+}
+
+auto ParsePosition(const Json& json) -> WatchPosition {
+  return WatchPosition(json.at("position").get<std::int64_t>());
+}
+
+auto ParseList(const Json& json) -> ListResult {
+  ListResult result{ParsePosition(json), {}};
+  for (const auto& object : json.at("objects")) {
+    result.objects.push_back(ParseRecord(object));
+  }
+  return result;
+}
+
+auto ParseWatch(const Json& json) -> WatchResult {
+  WatchResult result{ParsePosition(json), {}};
+  for (const auto& event : json.at("events")) {
+    result.events.push_back(ParseEvent(event));
+  }
+  return result;
+}
+
+// Parses a body with `parse`, which may throw; kProtocol when it does.
+template <typename Parse>
+auto Decode(const std::string& body, Parse parse)
+    -> Result<decltype(parse(Json()))> {
+  try {
+    return parse(Json::parse(body));
+  } catch (const Json::exception& error) {
+    return FailWith(
+        ErrorKind::kProtocol,
+        std::string("unexpected response of the object API: ") + error.what());
+  }
+}
+
+}  // namespace
+
+struct HttpObjectStore::Call {
+  std::string method;
+  std::string path;
+  std::string query;
+  std::string body;
+  // Time that the server may take on purpose, for watches.
+  Duration wait{0};
+};
+
+struct HttpObjectStore::Response {
+  unsigned status = 0;
+  std::string body;
+};
+
+HttpObjectStore::HttpObjectStore(HttpObjectStoreSettings settings)
+    : settings_(std::move(settings)) {}
+HttpObjectStore::~HttpObjectStore() = default;
+HttpObjectStore::HttpObjectStore(HttpObjectStore&& other) noexcept = default;
+auto HttpObjectStore::operator=(HttpObjectStore&& other) noexcept
+    -> HttpObjectStore& = default;
+
+auto HttpObjectStore::Get(const std::string& name) -> Result<ObjectRecord> {
+  const auto response = Read({"GET", ObjectPath(name), "", "", {}});
+  if (!response) return tl::unexpected<Error>(response.error());
+  auto record = Decode(response->body, ParseRecord);
+  if (record && record->name == name) return record;
+  // The response to another request: the connection is out of step.
+  reader_.reset();
+  if (!record) return record;
+  return FailWith(
+      ErrorKind::kProtocol,
+      "asked for object " + name + ", response is for " + record->name);
+}
+
+auto HttpObjectStore::Put(const std::string& name, const std::string& value,
+                          ObjectVersion expected) -> Result<ObjectVersion> {
+  return Update({"PUT",
+                 ObjectPath(name),
+                 Condition(expected),
+                 Json{{"value", value}}.dump(),
+                 {}});
+}
+
+auto HttpObjectStore::Remove(const std::string& name, ObjectVersion expected)
+    -> Result<ObjectVersion> {
+  return Update({"DELETE", ObjectPath(name), Condition(expected), "", {}});
+}
+
+auto HttpObjectStore::List(const std::string& prefix) -> Result<ListResult> {
+  const auto response = Read({"GET", "/v1/list", "prefix=" + prefix, "", {}});
+  if (!response) return tl::unexpected<Error>(response.error());
+  return Decode(response->body, ParseList);
+}
+
+auto HttpObjectStore::Watch(const std::string& prefix, WatchPosition after,
+                            Duration max_wait) -> Result<WatchResult> {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(max_wait).count();
+  const auto query = "prefix=" + prefix +
+                     "&after=" + std::to_string(after.Value()) +
+                     "&timeout_ms=" + std::to_string(milliseconds);
+  const auto response = Read({"GET", "/v1/watch", query, "", max_wait});
+  if (!response) return tl::unexpected<Error>(response.error());
+  return Decode(response->body, ParseWatch);
+}
+
+auto HttpObjectStore::Connect() const
+    -> std::unique_ptr<cxxtools::http::Client> {
+  return std::make_unique<cxxtools::http::Client>(settings_.host,
+                                                  settings_.port);
+}
+
+auto HttpObjectStore::Exchange(cxxtools::http::Client& client,
+                               const Call& call) const -> Result<Response> {
+  cxxtools::http::Request request(call.path);
+  request.method(call.method);
+  request.qparams(call.query);
+  if (!call.body.empty()) {
+    request.setHeader("Content-Type", "application/json");
+    request.body() << call.body;
+  }
+  try {
+    client.execute(request, ToMilliseconds(settings_.timeout + call.wait),
+                   ToMilliseconds(settings_.connect_timeout));
+    const auto& reply = client.readBody();
+    return Response{reply.httpReturnCode(), reply.body()};
+  } catch (const cxxtools::IOTimeout&) {
+    return FailWith(ErrorKind::kDeadlineExceeded,
+                    "no response of the object API in time");
+  } catch (const std::exception& error) {
+    return FailWith(IsConnectFailure(error.what()) ? ErrorKind::kUnavailable
+                                                   : ErrorKind::kProtocol,
+                    error.what());
+  }
+}
+
+auto HttpObjectStore::Read(const Call& call) -> Result<Response> {
+  if (!reader_) reader_ = Connect();
+  auto response = Exchange(*reader_, call);
+  if (response && response->status == 200) return response;
+  if (!response) {
+    reader_.reset();
+    if (response.error().kind != ErrorKind::kProtocol) return response;
+    // A connection that broke says nothing about the request.
+    return FailWith(ErrorKind::kUnavailable, response.error().message);
+  }
+  auto stated = StatedFailure(response->status, response->body);
+  if (stated) return tl::unexpected<Error>(*std::move(stated));
+  reader_.reset();
+  return FailWith(
+      ErrorKind::kUnavailable,
+      "the object API responded " + std::to_string(response->status));
+}
+
+auto HttpObjectStore::Update(const Call& call) const -> Result<ObjectVersion> {
+  const auto client = Connect();
+  const auto response = Exchange(*client, call);
+  if (!response) {
+    if (response.error().kind == ErrorKind::kUnavailable) {
+      return tl::unexpected<Error>(response.error());
+    }
+    return FailWith(ErrorKind::kOutcomeUnknown,
+                    call.path + ": " + response.error().message);
+  }
+  if (response->status == 200) {
+    auto version = Decode(response->body, [](const Json& json) {
+      return ObjectVersion(json.at("version").get<std::int64_t>());
+    });
+    if (version) return version;
+  } else if (auto stated = StatedFailure(response->status, response->body)) {
+    return tl::unexpected<Error>(*std::move(stated));
+  }
+  return FailWith(ErrorKind::kOutcomeUnknown,
+                  call.path + ": unexpected response with status " +
+                      std::to_string(response->status));
+}
+
+}  // namespace dotterellug
