Add the routing module

Cause: requests need an upstream that has the model, may get work and answers soonest, although load reports lag. Change: module routing with an immutable table of usable upstreams, atomic load counters corrected by the sends since a report, a fixed-size prefix index fed by cache events, the expected-cost policy with its components, the baselines random, round robin, two choices, least outstanding and bounded consistent hashing, and two choices for plain services. Removing the state, zone, model or allowance filter makes RoutingProperty.NoWorkForUnusableUpstream fail in a trial.

--- /dev/null
+++ b/modules/routing/policy/expected_cost.cc
@@ -0,0 +1,115 @@
+#include "routing/policy/expected_cost.h"
+
+#include <algorithm>
+
+namespace dotterellug {
+namespace {
+
+auto Contains(const std::vector<std::uint32_t>& sorted, std::uint32_t value)
+    -> bool {
+  return std::binary_search(sorted.begin(), sorted.end(), value);
+}
+
+auto AdapterResident(const RoutingTable& table, const RoutingEntry& entry,
+                     const AdapterId& adapter) -> bool {
+  if (adapter.Empty()) return true;
+  const auto number = table.AdapterNumber(adapter);
+  return number && Contains(entry.adapters, *number);
+}
+
+auto BlocksCachedOn(const PrefixMatches& matches, UpstreamSlot slot)
+    -> std::size_t {
+  for (std::size_t i = 0; i < matches.count; ++i) {
+    if (matches.matches[i].slot == slot) return matches.matches[i].blocks;
+  }
+  return 0;
+}
+
+auto WasCompared(const RoutingDecision& decision, std::uint32_t position)
+    -> bool {
+  for (std::size_t i = 0; i < decision.compared_count; ++i) {
+    if (decision.compared[i].position == position) return true;
+  }
+  return false;
+}
+
+// Adds a candidate to the comparison and makes it the choice if it is cheaper.
+auto Compare(RoutingDecision& decision, const ScoredCandidate& candidate)
+    -> void {
+  if (decision.compared_count == 0 ||
+      candidate.cost.Total() < decision.chosen.cost.Total()) {
+    decision.chosen = candidate;
+  }
+  decision.compared[decision.compared_count++] = candidate;
+}
+
+}  // namespace
+
+auto ScoreCandidate(const ExpectedCost& policy, const RoutingTable& table,
+                    const RoutingRequest& request, std::uint32_t position,
+                    std::size_t cached_blocks, Timestamp now)
+    -> ScoredCandidate {
+  const auto& entry = table.Entries()[position];
+  const auto load = entry.load->Estimate(now);
+  ScoredCandidate scored;
+  scored.position = position;
+  scored.cached_tokens = Tokens(std::min(
+      request.prompt_tokens.Value(), static_cast<std::int64_t>(cached_blocks) *
+                                         request.tokens_per_block.Value()));
+  const auto uncached = request.prompt_tokens - scored.cached_tokens;
+  scored.cost.queue_ms = load.queued_tokens / load.prefill_tokens_per_ms;
+  if (load.excess_requests > 0) {
+    scored.cost.batch_ms = load.excess_requests * load.mean_service_ms /
+                           static_cast<double>(load.max_running);
+  }
+  // A decode engine gets the KV cache handed over.
+  if (request.stage != RequestStage::kDecode) {
+    scored.cost.prefill_ms =
+        static_cast<double>(uncached.Value()) / load.prefill_tokens_per_ms;
+  }
+  if (!AdapterResident(table, entry, request.adapter)) {
+    scored.cost.adapter_ms = policy.adapter_load_ms;
+  }
+  scored.cost.zone_ms = 2 * entry.zone_ms;
+  return scored;
+}
+
+auto ChooseByCost(const ExpectedCost& policy, const RoutingTable& table,
+                  const Candidates& candidates, const PrefixIndex& prefixes,
+                  const RoutingRequest& request, Random& random, Timestamp now)
+    -> std::optional<RoutingDecision> {
+  RoutingDecision decision;
+  PrefixMatches matches;
+  if (policy.prefix_candidates > 0) {
+    matches = prefixes.Lookup(request.blocks, now);
+  }
+  const auto sample = std::clamp<std::size_t>(
+      policy.sample, 1, RoutingDecision::kMaxCompared - PrefixMatches::kMax);
+  for (std::size_t i = 0; i < sample; ++i) {
+    const auto position = candidates.Draw(random);
+    if (!position) return std::nullopt;
+    if (WasCompared(decision, *position)) continue;
+    const auto cached =
+        BlocksCachedOn(matches, candidates.Entry(*position).slot);
+    Compare(decision,
+            ScoreCandidate(policy, table, request, *position, cached, now));
+  }
+  const auto model = table.ModelNumber(request.model);
+  std::size_t added = 0;
+  for (std::size_t i = 0; i < matches.count && added < policy.prefix_candidates;
+       ++i) {
+    const auto position = table.PositionOfSlot(matches.matches[i].slot);
+    if (!position || WasCompared(decision, *position)) continue;
+    const auto& entry = candidates.Entry(*position);
+    // The index may remember an engine that has unloaded the model since.
+    if (!Contains(entry.models, *model)) continue;
+    if (!RoleRuns(entry.role, request.stage)) continue;
+    if (!candidates.Eligible(*position)) continue;
+    ++added;
+    Compare(decision, ScoreCandidate(policy, table, request, *position,
+                                     matches.matches[i].blocks, now));
+  }
+  return decision;
+}
+
+}  // namespace dotterellug
--- /dev/null
+++ b/modules/routing/prefix/cache_events.cc
@@ -0,0 +1,46 @@
+#include "routing/prefix/cache_events.h"
+
+namespace dotterellug {
+
+auto CacheEventApplier::Apply(const CacheEvent& event, Timestamp now) -> void {
+  if (!Advance(event)) {
+    ++counts_.ignored;
+    return;
+  }
+  ++counts_.applied;
+  if (event.kind == CacheEventKind::kCleared) index_.Clear(event.slot);
+  for (const auto block : event.blocks) {
+    if (event.kind == CacheEventKind::kStored) {
+      index_.Insert(block, event.slot, now);
+    }
+    if (event.kind == CacheEventKind::kRemoved) {
+      index_.Remove(block, event.slot);
+    }
+  }
+}
+
+auto CacheEventApplier::Reset(UpstreamSlot slot) -> void {
+  index_.Clear(slot);
+  positions_.erase(slot);
+}
+
+auto CacheEventApplier::Advance(const CacheEvent& event) -> bool {
+  auto& position =
+      positions_.emplace(event.slot, Position{event.incarnation, 0})
+          .first->second;
+  if (event.incarnation < position.incarnation) return false;
+  if (position.incarnation < event.incarnation) {
+    // The engine restarted with an empty cache.
+    index_.Clear(event.slot);
+    position = Position{event.incarnation, 0};
+  }
+  if (event.sequence <= position.sequence) return false;
+  // A daemon that joins late has not missed the events before it.
+  if (position.sequence > 0) {
+    counts_.missing += event.sequence - position.sequence - 1;
+  }
+  position.sequence = event.sequence;
+  return true;
+}
+
+}  // namespace dotterellug
--- /dev/null
+++ b/modules/routing/tests/routing_tests.cc
@@ -0,0 +1,367 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <iostream>
+#include <string>
+
+#include "routing/policy/expected_cost.h"
+#include "routing/tests/routing_fixture.h"
+
+namespace dotterellug {
+namespace {
+
+// Runs a property with a seed from code, so that every run gives one verdict.
+template <typename Property>
+auto Holds(const Property& property, std::uint64_t seed) -> bool {
+  rc::detail::TestMetadata metadata;
+  rc::detail::TestParams params;
+  params.seed = seed;
+  const auto result = rc::detail::checkTestable(property, metadata, params);
+  rc::detail::printResultMessage(result, std::cerr);
+  return result.template is<rc::detail::SuccessResult>();
+}
+
+auto IdOf(const RoutingTable& table, const RoutingDecision& decision)
+    -> std::string {
+  return table.Entries()[decision.chosen.position].id.Value();
+}
+
+// Guards against new work for an upstream that leaves, is down, is in a zone
+// taken out, lacks the model, is excluded, or has no allowance.
+TEST(RoutingProperty, NoWorkForUnusableUpstream) {
+  const auto property = [] {
+    Fleet fleet;
+    fleet.AddZone("in", false);
+    fleet.AddZone("out", true);
+    std::vector<std::string> usable;
+    RoutingRequest request = RequestFor("m");
+    request.blocks = HashBlocks(request.model, AdapterId(),
+                                std::string(1024, 'x'), BlockHashing{});
+    const auto count = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < count; ++i) {
+      const auto name = "e" + std::to_string(i);
+      const bool zone_out = *rc::gen::arbitrary<bool>();
+      const bool has_model = *rc::gen::arbitrary<bool>();
+      const bool excluded = *rc::gen::arbitrary<bool>();
+      const bool room = *rc::gen::arbitrary<bool>();
+      const auto state = *rc::gen::element(
+          UpstreamState::kLive, UpstreamState::kLeaving, UpstreamState::kDown);
+      auto& status =
+          fleet.AddUpstream(name, zone_out ? "out" : "in",
+                            {ModelId(has_model ? "m" : "other")}, state);
+      status.allowance = room ? 1 : 0;
+      if (excluded) request.excluded.emplace_back(name);
+      if (!zone_out && has_model && !excluded && room &&
+          state == UpstreamState::kLive) {
+        usable.push_back(name);
+      }
+    }
+    const auto table = fleet.Build();
+    PrefixIndex prefixes(PrefixIndexOptions{64});
+    // The unusable upstreams are the cheapest: they have the prompt cached.
+    for (int i = 0; i < count; ++i) {
+      const auto name = "e" + std::to_string(i);
+      if (std::count(usable.begin(), usable.end(), name) > 0) continue;
+      const auto slot = table->SlotOf(UpstreamId(name));
+      prefixes.RecordPrompt(request.blocks, *slot, At(0));
+    }
+    RoutingThreadState state(*rc::gen::arbitrary<std::uint64_t>());
+    for (const auto& policy : AllPolicies()) {
+      const auto decision =
+          ChooseEngine(policy, *table, prefixes, request, state, At(1));
+      RC_ASSERT(decision.has_value() == !usable.empty());
+      if (!decision) continue;
+      RC_ASSERT(std::count(usable.begin(), usable.end(),
+                           IdOf(*table, *decision)) == 1);
+    }
+  };
+  EXPECT_TRUE(Holds(property, 1));
+}
+
+// Guards against phases on engines of the wrong role.
+TEST(RoutingTable, RolesRunTheirStagesOnly) {
+  struct Case {
+    RequestStage stage;
+    std::vector<std::string> expected;
+  };
+  Fleet fleet;
+  fleet.AddZone("z", false);
+  fleet.AddUpstream("both", "z", {ModelId("m")});
+  fleet.AddUpstream("decode", "z", {ModelId("m")}).role = EngineRole::kDecode;
+  fleet.AddUpstream("prefill", "z", {ModelId("m")}).role = EngineRole::kPrefill;
+  const auto table = fleet.Build();
+  for (const auto& c : {Case{RequestStage::kWhole, {"both"}},
+                        Case{RequestStage::kPrefill, {"both", "prefill"}},
+                        Case{RequestStage::kDecode, {"both", "decode"}}}) {
+    std::vector<std::string> names;
+    for (const auto position : *table->ForModel(ModelId("m"), c.stage)) {
+      names.push_back(table->Entries()[position].id.Value());
+    }
+    EXPECT_EQ(names, c.expected);
+  }
+}
+
+// Guards against counters or slots that are lost or mixed up by a new snapshot.
+TEST(RoutingTable, KeepsCountersAndSlotsOfKnownUpstreams) {
+  Fleet fleet;
+  fleet.AddZone("z", false);
+  fleet.AddUpstream("a", "z", {ModelId("m")});
+  fleet.AddUpstream("b", "z", {ModelId("m")});
+  const auto first = fleet.Build();
+  const auto slot = *first->SlotOf(UpstreamId("b"));
+  const auto ticket =
+      DispatchTicket::Begin(first->LoadOf(UpstreamId("b")), Tokens(10), At(0));
+  fleet.document.upstreams.erase(UpstreamId("a"));
+  fleet.AddUpstream("c", "z", {ModelId("m")}).allowance.reset();
+  const auto second = fleet.Build(first.get());
+  EXPECT_EQ(*second->SlotOf(UpstreamId("b")), slot);
+  EXPECT_EQ(second->LoadOf(UpstreamId("b"))->InFlight(), 1);
+  EXPECT_EQ(second->NewSlots().size(), 1U);
+  // A new upstream is cold until it is told otherwise.
+  EXPECT_EQ(second->LoadOf(UpstreamId("c"))->Allowance(), 2);
+}
+
+// Guards against work beyond the cold-start allowance, and against counts that
+// leak when an exchange ends without a first token.
+TEST(UpstreamLoad, AllowanceBoundsRequestsInFlight) {
+  const auto load = std::make_shared<UpstreamLoad>(2);
+  auto first = DispatchTicket::Begin(load, Tokens(100), At(0));
+  {
+    const auto second = DispatchTicket::Begin(load, Tokens(100), At(0));
+    EXPECT_TRUE(second.has_value());
+    EXPECT_FALSE(DispatchTicket::Begin(load, Tokens(100), At(0)).has_value());
+    EXPECT_DOUBLE_EQ(load->Estimate(At(0)).queued_tokens, 200);
+  }
+  EXPECT_EQ(load->InFlight(), 1);
+  EXPECT_DOUBLE_EQ(load->Estimate(At(0)).queued_tokens, 100);
+  first->FirstToken();
+  first->FirstToken();
+  EXPECT_DOUBLE_EQ(load->Estimate(At(0)).queued_tokens, 0);
+}
+
+// Guards against counting sends twice or not at all when a report is late.
+TEST(UpstreamLoad, CorrectsLateReportsBySends) {
+  struct Case {
+    const char* name;
+    std::int64_t measured_ms;
+    std::int64_t reported_tokens;
+    double expected_tokens;
+  };
+  // 800 tokens were sent at 1000 ms and 400 at 2000 ms; the engine does 0.1
+  // tokens per ms; estimates are for 2100 ms.
+  const std::vector<Case> cases = {
+      {"before both sends", 500, 0, 1200 - 160},
+      {"between the sends", 1500, 600, 1000 - 60},
+      {"after both sends", 2100, 1100, 1100},
+  };
+  for (const auto& c : cases) {
+    UpstreamLoad load(100);
+    load.TryBegin(Tokens(800), At(1000));
+    load.TryBegin(Tokens(400), At(2000));
+    load.EndPrefill(Tokens(1200));
+    LoadReport report;
+    report.measured_at = At(c.measured_ms);
+    report.waiting_tokens = Tokens(c.reported_tokens);
+    report.prefill_tokens_per_ms = 0.1;
+    EXPECT_TRUE(load.ApplyReport(report));
+    EXPECT_NEAR(load.Estimate(At(2100)).queued_tokens, c.expected_tokens, 1e-6)
+        << c.name;
+    report.measured_at = At(c.measured_ms - 1);
+    EXPECT_FALSE(load.ApplyReport(report)) << c.name;
+  }
+}
+
+// Guards against a cost model that ignores one of its parts.
+TEST(ExpectedCost, ComponentsAddUp) {
+  Fleet fleet;
+  fleet.AddZone("z", false);
+  fleet.AddUpstream("e", "z", {ModelId("m")}).adapters = {AdapterId("warm")};
+  const auto table = fleet.Build();
+  LoadReport report;
+  report.measured_at = At(1000);
+  report.waiting_tokens = Tokens(2000);
+  report.waiting_requests = 3;
+  report.running_requests = 8;
+  report.max_running = 8;
+  report.prefill_tokens_per_ms = 10;
+  report.mean_service_ms = 400;
+  table->LoadOf(UpstreamId("e"))->ApplyReport(report);
+  auto request = RequestFor("m", 1000);
+  request.adapter = AdapterId("cold");
+  const auto scored =
+      ScoreCandidate(ExpectedCost{}, *table, request, 0, 5, At(1000));
+  EXPECT_DOUBLE_EQ(scored.cost.queue_ms, 200);
+  EXPECT_DOUBLE_EQ(scored.cost.batch_ms, 4 * 400 / 8.0);
+  EXPECT_DOUBLE_EQ(scored.cost.prefill_ms, (1000 - 5 * 64) / 10.0);
+  EXPECT_DOUBLE_EQ(scored.cost.adapter_ms, 7);
+  EXPECT_DOUBLE_EQ(scored.cost.zone_ms, 2);
+  request.adapter = AdapterId("warm");
+  EXPECT_DOUBLE_EQ(
+      ScoreCandidate(ExpectedCost{}, *table, request, 0, 5, At(1000))
+          .cost.adapter_ms,
+      0);
+}
+
+// Guards against a herd: with one stale report, many daemons must not all send
+// to the upstream that looked idle.
+TEST(ExpectedCost, StaleReportDoesNotDrawAHerd) {
+  std::vector<int> received(9, 0);
+  for (int daemon = 0; daemon < 8; ++daemon) {
+    Fleet fleet;
+    fleet.AddZone("z", false);
+    for (int i = 0; i < 9; ++i) {
+      fleet.AddUpstream("e" + std::to_string(i), "z", {ModelId("m")});
+    }
+    const auto table = fleet.Build();
+    for (int i = 0; i < 9; ++i) {
+      LoadReport report;
+      report.measured_at = At(1000);
+      report.waiting_tokens = Tokens(i == 0 ? 0 : 500);
+      table->Entries()[i].load->ApplyReport(report);
+    }
+    const PrefixIndex prefixes(PrefixIndexOptions{64});
+    RoutingThreadState state(daemon);
+    for (int n = 0; n < 20; ++n) {
+      const auto decision = ChooseEngine(ExpectedCost{}, *table, prefixes,
+                                         RequestFor("m"), state, At(1000));
+      ASSERT_TRUE(decision.has_value());
+      table->Entries()[decision->chosen.position].load->TryBegin(Tokens(1024),
+                                                                 At(1000));
+      ++received[decision->chosen.position];
+    }
+  }
+  EXPECT_LE(*std::max_element(received.begin(), received.end()), 2 * 160 / 9);
+}
+
+// Guards against cache events that resurrect or lose entries.
+TEST(CacheEvents, AppliesLateAndGappyStreams) {
+  struct Case {
+    const char* name;
+    std::vector<CacheEvent> events;
+    std::size_t expected_blocks;
+    std::int64_t ignored;
+    std::int64_t missing;
+  };
+  constexpr auto kStored = CacheEventKind::kStored;
+  constexpr auto kRemoved = CacheEventKind::kRemoved;
+  const auto blocks = HashBlocks(ModelId("m"), AdapterId(),
+                                 std::string(1024, 'x'), BlockHashing{});
+  const BlockHashes last{blocks[3]};
+  const Incarnation one(1);
+  const Incarnation two(2);
+  const std::vector<Case> cases = {
+      {"in order", {{0, one, 1, kStored, blocks}}, 4, 0, 0},
+      {"earlier block's event lost", {{0, one, 5, kStored, last}}, 4, 0, 0},
+      {"removed",
+       {{0, one, 1, kStored, blocks}, {0, one, 2, kRemoved, last}},
+       3,
+       0,
+       0},
+      {"overtaken store after removal",
+       {{0, one, 2, kRemoved, last}, {0, one, 1, kStored, last}},
+       0,
+       1,
+       0},
+      {"duplicate store after removal",
+       {{0, one, 1, kStored, last},
+        {0, one, 2, kRemoved, last},
+        {0, one, 1, kStored, last}},
+       0,
+       1,
+       0},
+      {"gap",
+       {{0, one, 1, kStored, blocks}, {0, one, 4, kRemoved, last}},
+       3,
+       0,
+       2},
+      {"restart forgets",
+       {{0, one, 7, kStored, blocks}, {0, two, 1, kStored, {blocks[0]}}},
+       1,
+       0,
+       0},
+      {"late event of the earlier incarnation",
+       {{0, two, 1, kStored, {blocks[0]}}, {0, one, 9, kStored, blocks}},
+       1,
+       1,
+       0},
+      {"cleared",
+       {{0, one, 1, kStored, blocks},
+        {0, one, 2, CacheEventKind::kCleared, {}}},
+       0,
+       0,
+       0},
+  };
+  for (const auto& c : cases) {
+    PrefixIndex index(PrefixIndexOptions{64});
+    CacheEventApplier applier(index);
+    for (const auto& event : c.events) applier.Apply(event, At(0));
+    const auto found = index.Lookup(blocks, At(1));
+    EXPECT_EQ(found.count > 0 ? found.matches[0].blocks : 0, c.expected_blocks)
+        << c.name;
+    EXPECT_EQ(applier.Counts().ignored, c.ignored) << c.name;
+    EXPECT_EQ(applier.Counts().missing, c.missing) << c.name;
+  }
+}
+
+// Guards against an index that grows, believes old entries, or keeps a hit that
+// the engine has denied.
+TEST(PrefixIndex, IsBoundedAndForgets) {
+  PrefixIndex index(PrefixIndexOptions{64});
+  const auto memory = index.MemoryBytes();
+  const auto blocks = HashBlocks(ModelId("m"), AdapterId(),
+                                 std::string(1024, 'x'), BlockHashing{});
+  index.RecordPrompt(blocks, 3, At(0));
+  EXPECT_EQ(index.Lookup(blocks, At(599'000)).count, 1U);
+  EXPECT_EQ(index.Lookup(blocks, At(602'000)).count, 0U);
+  index.CorrectPrompt(blocks, 3, 2);
+  EXPECT_EQ(index.Lookup(blocks, At(0)).matches[0].blocks, 2U);
+  Random random(1);
+  for (int i = 0; i < 100'000; ++i) index.Insert(random.Next(), 1, At(i));
+  EXPECT_EQ(index.MemoryBytes(), memory);
+}
+
+// Guards against prompts of different models or adapters that share blocks.
+TEST(BlockHashes, CoverModelAdapterAndAllEarlierBlocks) {
+  const std::string prompt(600, 'x');
+  const auto hash = [&](const char* model, const char* adapter,
+                        const std::string& text) {
+    return HashBlocks(ModelId(model), AdapterId(adapter), text,
+                      BlockHashing{256, 64});
+  };
+  const auto base = hash("m", "", prompt);
+  ASSERT_EQ(base.size(), 2U);
+  auto changed = prompt;
+  changed[0] = 'y';
+  for (const auto& other : {hash("n", "", prompt), hash("m", "a", prompt),
+                            hash("m", "", changed)}) {
+    EXPECT_NE(base[0], other[0]);
+    EXPECT_NE(base[1], other[1]);
+  }
+}
+
+// Guards against plain services that get work without a live instance, and
+// against two choices that ignore the load.
+TEST(ServiceRouting, PrefersFewerOutstanding) {
+  Fleet fleet;
+  fleet.AddZone("z", false);
+  fleet.AddUpstream("s0", "z", {});
+  fleet.AddUpstream("s1", "z", {});
+  fleet.AddUpstream("s2", "z", {}, UpstreamState::kLeaving);
+  const auto table = fleet.Build();
+  RoutingThreadState state(5);
+  for (int i = 0; i < 100; ++i) {
+    const auto decision =
+        ChooseServiceInstance(*table, PoolId("pool"), {}, state);
+    ASSERT_TRUE(decision.has_value());
+    table->Entries()[decision->chosen.position].load->TryBegin(Tokens(0),
+                                                               At(0));
+  }
+  EXPECT_NEAR(table->LoadOf(UpstreamId("s0"))->InFlight(), 50, 10);
+  EXPECT_EQ(table->LoadOf(UpstreamId("s2"))->InFlight(), 0);
+  const auto unknown = ChooseServiceInstance(*table, PoolId("none"), {}, state);
+  EXPECT_EQ(unknown.error(), NoUpstreamReason::kNoCandidate);
+}
+
+}  // namespace
+}  // namespace dotterellug
