--- a/modules/upstream/tests/scripted_peer.h
+++ b/modules/upstream/tests/scripted_peer.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <atomic>
+#include <cstdlib>
 #include <string>
 #include <thread>
 #include <variant>
@@ -40,8 +41,10 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    ::bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
-    ::listen(listener_, 16);
+    if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+        ::listen(listener_, 16) != 0) {
+      std::abort();
+    }
     ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
     thread_ = std::thread([this] { Accept(); });
