--- a/modules/yaml/rules/quantities.cc
+++ b/modules/yaml/rules/quantities.cc
@@ -51,14 +51,16 @@
   return std::nullopt;
 }
 
+// `zero` is the text of the amount 0, which every unit divides.
 template <std::size_t kCount>
-auto FormatAmount(std::int64_t amount, const std::array<Unit, kCount>& units)
-    -> std::string {
+auto FormatAmount(std::int64_t amount, const std::array<Unit, kCount>& units,
+                  std::string_view zero) -> std::string {
+  if (amount == 0) return std::string(zero);
   for (const auto& unit : units) {
-    if (amount == 0 || amount % unit.factor != 0) continue;
+    if (amount % unit.factor != 0) continue;
     return std::to_string(amount / unit.factor) + std::string(unit.suffix);
   }
-  return "0" + std::string(units.back().suffix);
+  return std::to_string(amount);
 }
 
 }  // namespace
@@ -74,7 +76,7 @@
 }
 
 auto FormatBytes(Bytes bytes) -> std::string {
-  return FormatAmount(bytes.Value(), kByteUnits);
+  return FormatAmount(bytes.Value(), kByteUnits, "0");
 }
 
 auto ParseDuration(std::string_view text) -> Result<Duration> {
@@ -87,7 +89,7 @@
 }
 
 auto FormatDuration(Duration duration) -> std::string {
-  return FormatAmount(duration.count(), kDurationUnits);
+  return FormatAmount(duration.count(), kDurationUnits, "0s");
 }
 
 }  // namespace dotterellug
--- a/modules/yaml/rules/rules.cc
+++ b/modules/yaml/rules/rules.cc
@@ -1,7 +1,5 @@
 #include "yaml/rules/rules.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -181,6 +179,15 @@
   return "text of at most " + std::to_string(max_length) + " characters";
 }
 
+auto PathRule::Parse(const YamlNode& node) const -> Result<std::string> {
+  auto path = TextRule{}.Parse(node);
+  if (path) return path;
+  return Fail(ErrorKind::kInvalidArgument, path.error().message,
+              "write " + Describe());
+}
+
+auto PathRule::Describe() const -> std::string { return "a path"; }
+
 auto HexRule::Parse(const YamlNode& node) const -> Result<std::string> {
   const auto text = RequireScalar(node, Describe());
   if (!text) return tl::unexpected<Error>(text.error());
@@ -199,9 +206,7 @@
   const auto text = RequireScalar(node, Describe());
   if (!text) return tl::unexpected<Error>(text.error());
   std::string address(*text);
-  std::array<unsigned char, sizeof(in6_addr)> binary{};
-  if (inet_pton(AF_INET, address.c_str(), binary.data()) == 1) return address;
-  if (inet_pton(AF_INET6, address.c_str(), binary.data()) == 1) return address;
+  if (IsIpAddress(address)) return address;
   return Invalid("not an IP address", Describe());
 }
 
@@ -209,4 +214,15 @@
   return "an IPv4 or IPv6 address";
 }
 
+auto SocketAddressRule::Parse(const YamlNode& node) const
+    -> Result<SocketAddress> {
+  const auto text = RequireScalar(node, Describe());
+  if (!text) return tl::unexpected<Error>(text.error());
+  return ParseSocketAddress(*text);
+}
+
+auto SocketAddressRule::Describe() const -> std::string {
+  return "an IP address and a port such as 127.0.0.1:8080 or \"[::1]:8080\"";
+}
+
 }  // namespace dotterellug
--- a/modules/yaml/rules/rules.h
+++ b/modules/yaml/rules/rules.h
@@ -9,6 +9,7 @@
 
 #include "core/errors/error.h"
 #include "core/ids/ids.h"
+#include "core/net/socket_address.h"
 #include "core/time/time.h"
 #include "yaml/tree/yaml_node.h"
 
@@ -73,6 +74,12 @@
   auto Describe() const -> std::string;
 };
 
+// Path of a file.
+struct PathRule {
+  auto Parse(const YamlNode& node) const -> Result<std::string>;
+  auto Describe() const -> std::string;
+};
+
 // Lower-case hexadecimal text of a fixed number of bytes.
 struct HexRule {
   std::size_t bytes = 0;
@@ -88,6 +95,12 @@
   auto Describe() const -> std::string;
 };
 
+// IP address and port in one text, as ParseSocketAddress reads it.
+struct SocketAddressRule {
+  auto Parse(const YamlNode& node) const -> Result<SocketAddress>;
+  auto Describe() const -> std::string;
+};
+
 // One of several names that stand for the values of an enum or a fixed set.
 template <typename Choice>
 struct ChoiceRule {
