Add the example deployments

Cause: Trials, tests and new operators need complete serving documents at the sizes of both deployments.

--- a/modules/settings/tests/settings_tests.cc
+++ b/modules/settings/tests/settings_tests.cc
@@ -164,6 +164,16 @@
   EXPECT_FALSE(LoadSettings(testing::TempDir()));
 }
 
+// Guards against sample settings that no longer match the code.
+TEST(SettingsTest, ExamplesAreValid) {
+  for (const auto* name : {"chujio-hub", "kestrelfield"}) {
+    const auto settings = LoadSettings(std::string(DOTTERELLUG_SOURCE_DIR) +
+                                       "/examples/" + name + "/daemon.yaml");
+    ASSERT_TRUE(settings) << settings.error().Text();
+    EXPECT_TRUE(std::ifstream(settings->key_files.digest));
+  }
+}
+
 // Guards against a reference page that lacks a setting or states another
 // default than the code.
 TEST(SettingsTest, ReferencePageContainsTheGeneratedTable) {
