--- a/modules/store/http/http_object_store.cc
+++ b/modules/store/http/http_object_store.cc
@@ -2,7 +2,6 @@
 
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
-#include <cxxtools/ioerror.h>
 
 #include <exception>
 #include <nlohmann/json.hpp>
@@ -58,7 +57,6 @@
       return "list the objects and watch from the list's position";
     case ErrorKind::kUnavailable:
     case ErrorKind::kExhausted:
-    case ErrorKind::kDeadlineExceeded:
       return "repeat later";
     case ErrorKind::kOutcomeUnknown:
       return "read the object again before repeating";
@@ -216,9 +214,10 @@
 
 auto HttpObjectStore::Exchange(cxxtools::http::Client& client,
                                const Call& call) const -> Result<Response> {
-  cxxtools::http::Request request(call.path);
+  // Request::qparams would be left out of requests other than GET.
+  const auto query = call.query.empty() ? "" : "?" + call.query;
+  cxxtools::http::Request request(call.path + query);
   request.method(call.method);
-  request.qparams(call.query);
   if (!call.body.empty()) {
     request.setHeader("Content-Type", "application/json");
     request.body() << call.body;
@@ -228,9 +227,6 @@
                    ToMilliseconds(settings_.connect_timeout));
     const auto& reply = client.readBody();
     return Response{reply.httpReturnCode(), reply.body()};
-  } catch (const cxxtools::IOTimeout&) {
-    return FailWith(ErrorKind::kDeadlineExceeded,
-                    "no response of the object API in time");
   } catch (const std::exception& error) {
     return FailWith(IsConnectFailure(error.what()) ? ErrorKind::kUnavailable
                                                    : ErrorKind::kProtocol,
@@ -244,8 +240,7 @@
   if (response && response->status == 200) return response;
   if (!response) {
     reader_.reset();
-    if (response.error().kind != ErrorKind::kProtocol) return response;
-    // A connection that broke says nothing about the request.
+    // cxxtools reports a timeout and a broken connection alike.
     return FailWith(ErrorKind::kUnavailable, response.error().message);
   }
   auto stated = StatedFailure(response->status, response->body);
--- a/modules/store/memory/memory_object_store.cc
+++ b/modules/store/memory/memory_object_store.cc
@@ -133,8 +133,7 @@
     case FaultKind::kSlow:
     case FaultKind::kLate:
       if (action.delay <= timeout_) return {};
-      return Fail(ErrorKind::kDeadlineExceeded,
-                  "the object API does not answer in time", "repeat later");
+      return Unavailable();
     default:
       return {};
   }
--- a/modules/store/port/object_store.h
+++ b/modules/store/port/object_store.h
@@ -18,11 +18,11 @@
 // gives kInvalidArgument or kTooLarge without a call. Every update is
 // conditional on the version that the object had.
 //
-// Reads fail with kUnavailable, kDeadlineExceeded, kExhausted (rate limit) or
-// kProtocol and may be repeated. Updates fail with kConflict (not done, the
-// version differs), kUnavailable or kExhausted (not done), or kOutcomeUnknown
-// (may be done, now or later: read before repeating). Not thread-safe: each
-// thread uses its own, since a watch blocks.
+// Reads fail with kUnavailable (also when no answer came in time), kExhausted
+// (rate limit) or kProtocol and may be repeated. Updates fail with kConflict
+// (not done, the version differs), kUnavailable or kExhausted (not done), or
+// kOutcomeUnknown (may be done, now or later: read before repeating). Not
+// thread-safe: each thread uses its own, since a watch blocks.
 class ObjectStore {
  public:
   explicit ObjectStore(MemoryObjectStore store) : store_(std::move(store)) {}
