--- a/extras/standins/common/fault_table.cc
+++ b/extras/standins/upstream_faults/fault_table.cc
@@ -1,4 +1,4 @@
-#include "standins/common/fault_table.h"
+#include "standins/upstream_faults/fault_table.h"
 
 namespace dotterellug::standins {
 
