--- /dev/null
+++ b/daemon/state/shared_state.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+#include "admission/admission.h"
+#include "core/core.h"
+#include "daemon/state/published.h"
+#include "daemon/traffic/admission_gate.h"
+#include "daemon/traffic/request_context.h"
+#include "document/document.h"
+#include "frontend/frontend.h"
+#include "routing/routing.h"
+#include "telemetry/telemetry.h"
+#include "upstream/upstream.h"
+
+namespace dotterellug {
+
+// Time limits of the request path.
+struct TrafficTimeouts {
+  // From sending a request until the head of its response.
+  Duration head = std::chrono::seconds(10);
+  // Between two parts of a response; longer means a silent connection.
+  Duration progress = std::chrono::seconds(5);
+};
+
+// What the traffic threads share. The control thread writes the published
+// values and flags; everything else is thread-safe by itself.
+struct SharedState {
+  SharedState(const InstanceId& instance, Incarnation incarnation,
+              const AdmissionOptions& admission)
+      : ids(instance, incarnation),
+        gate(admission),
+        prefixes(PrefixIndexOptions{}),
+        retry_budget(RetryBudgetOptions{}),
+        retry_random(Hash64(instance.Value())) {}
+
+  Metrics metrics;
+  RequestIdSource ids;
+  AdmissionGate gate;
+  ExchangePool exchanges;
+  PrefixIndex prefixes;
+  RoutingPolicy policy = ExpectedCost{};
+  TrafficTimeouts timeouts;
+  JsonLimits json_limits;
+  // Replaces the caller's key towards upstreams; empty sends none.
+  std::string upstream_credential;
+
+  Published<ServingSnapshot> snapshot;
+  Published<RoutingTable> routing;
+  // Set while this daemon cannot tell whether its revision is current.
+  std::atomic<bool> isolated{false};
+
+  std::mutex retry_mutex;
+  RetryBudget retry_budget;
+  Random retry_random;
+};
+
+}  // namespace dotterellug
--- a/daemon/traffic/admission_gate.h
+++ b/daemon/traffic/admission_gate.h
@@ -22,8 +22,7 @@
 // waits here with its own request.
 class AdmissionGate {
  public:
-  explicit AdmissionGate(const AdmissionOptions& options)
-      : options_(options) {}
+  explicit AdmissionGate(const AdmissionOptions& options) : options_(options) {}
 
   // Waits until the request may start. `has_room` tells whether an upstream
   // could take a request of this model now; it is called with the gate locked
