Add the admission module

Cause: requests beyond the capacity need an order, bounds and true refusals, and failed attempts must not multiply load. Change: module admission with bounded class queues (weights 16:4:1, aging for batch), deficit round robin between client accounts, early refusal of deadlines with a retry-after from the measured pace, shedding from the lowest class and the longest account, cancellation, a sliding retry budget and backoff with jitter. PriorityClass moves from document to core, because admission depends on core only.

--- /dev/null
+++ b/modules/admission/queue/admission_queue.cc
@@ -0,0 +1,228 @@
+#include "admission/queue/admission_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterellug {
+namespace {
+
+constexpr std::array<PriorityClass, kPriorityClasses> kClasses{
+    PriorityClass::kInteractive, PriorityClass::kStandard,
+    PriorityClass::kBatch};
+
+auto Index(PriorityClass priority) -> std::size_t {
+  return static_cast<std::size_t>(priority);
+}
+
+}  // namespace
+
+AdmissionQueue::AdmissionQueue(const AdmissionOptions& options)
+    : options_(options),
+      queues_(kPriorityClasses, ClassQueue(options.quantum)) {}
+
+auto AdmissionQueue::Enqueue(QueuedRequest request, Timestamp now)
+    -> EnqueueResult {
+  EnqueueResult result;
+  request.account_weight = std::max<std::int64_t>(1, request.account_weight);
+  if (auto refusal = CheckDeadline(request, now)) {
+    result.outcome = tl::unexpected(*std::move(refusal));
+    return result;
+  }
+  if (auto refusal = MakeRoom(request, result.shed)) {
+    result.outcome = tl::unexpected(*std::move(refusal));
+    return result;
+  }
+  const auto index = Index(request.priority);
+  // A class that was idle does not catch up on what it did not use.
+  if (queues_[index].Size() == 0) {
+    class_progress_[index] = std::max(class_progress_[index], progress_);
+  }
+  last_ticket_ = last_ticket_.Next();
+  queues_[index].Add(last_ticket_, std::move(request));
+  result.outcome = last_ticket_;
+  return result;
+}
+
+auto AdmissionQueue::StartNext(Timestamp now) -> StartResult {
+  StartResult result;
+  result.expired = Expire(now);
+  result.request = TakeForStart(now);
+  if (result.request) {
+    ChargeClass(result.request->priority, result.request->cost);
+    drain_rate_.Started(result.request->cost, TotalWaiting() > 0, now);
+  }
+  return result;
+}
+
+auto AdmissionQueue::Expire(Timestamp now) -> std::vector<Refusal> {
+  std::vector<Refusal> expired;
+  for (auto& queue : queues_) {
+    while (const auto request = queue.RemoveExpired(now)) {
+      expired.push_back(Refuse(*request, RefusalReason::kDeadlinePassed));
+    }
+  }
+  return expired;
+}
+
+auto AdmissionQueue::Cancel(QueueTicket ticket) -> bool {
+  return std::any_of(queues_.begin(), queues_.end(), [&](ClassQueue& queue) {
+    return queue.Remove(ticket).has_value();
+  });
+}
+
+auto AdmissionQueue::Waiting(PriorityClass priority) const -> std::size_t {
+  return Queue(priority).Size();
+}
+
+auto AdmissionQueue::OldestAge(PriorityClass priority, Timestamp now) const
+    -> Duration {
+  const auto arrival = Queue(priority).OldestArrival();
+  return arrival ? now - *arrival : Duration(0);
+}
+
+auto AdmissionQueue::ExpectedWait(const QueuedRequest& request) const
+    -> std::optional<Duration> {
+  return WaitBehind(request, Queue(request.priority).QueuedOf(request.account));
+}
+
+auto AdmissionQueue::WaitBehind(const QueuedRequest& request,
+                                Tokens ahead) const -> std::optional<Duration> {
+  const auto rate = drain_rate_.TokensPerSecond();
+  if (!rate) return std::nullopt;
+  const auto index = Index(request.priority);
+  const auto own = queues_[index].TokensUntilServed(
+      request.account, request.account_weight, ahead + request.cost);
+  const auto own_progress =
+      own / static_cast<double>(options_.class_weights[index]);
+  auto total = own;
+  for (std::size_t other = 0; other < kPriorityClasses; ++other) {
+    if (other == index) continue;
+    const auto queued =
+        static_cast<double>(queues_[other].QueuedTokens().Value());
+    const auto weight = static_cast<double>(options_.class_weights[other]);
+    total += std::min(queued, own_progress * weight);
+  }
+  // The request's own tokens run after its start.
+  total -= static_cast<double>(request.cost.Value());
+  return FromSeconds(std::max(0.0, total) / *rate);
+}
+
+auto AdmissionQueue::TimeUntilWaitIs(const QueuedRequest& request,
+                                     Duration wait, Duration allowed) const
+    -> Duration {
+  const auto without_own = WaitBehind(request, Tokens());
+  // Every start brings the request forward while its account has others ahead.
+  if (without_own && *without_own <= allowed) return wait - allowed;
+  // Otherwise the other accounts' turns take too long until they run empty.
+  Tokens queued;
+  for (const auto& queue : queues_) queued += queue.QueuedTokens();
+  const auto drained = FromSeconds(static_cast<double>(queued.Value()) /
+                                   *drain_rate_.TokensPerSecond());
+  return std::max(wait, drained) - allowed;
+}
+
+auto AdmissionQueue::Queue(PriorityClass priority) -> ClassQueue& {
+  return queues_[Index(priority)];
+}
+
+auto AdmissionQueue::Queue(PriorityClass priority) const -> const ClassQueue& {
+  return queues_[Index(priority)];
+}
+
+auto AdmissionQueue::TotalWaiting() const -> std::size_t {
+  std::size_t total = 0;
+  for (const auto& queue : queues_) total += queue.Size();
+  return total;
+}
+
+auto AdmissionQueue::CheckDeadline(const QueuedRequest& request,
+                                   Timestamp now) const
+    -> std::optional<Refusal> {
+  if (request.LatestStart() < now) {
+    auto refusal = Refuse(request, RefusalReason::kDeadlineTooShort);
+    refusal.retry_after.reset();
+    return refusal;
+  }
+  const auto wait = ExpectedWait(request);
+  if (!wait || now + *wait <= request.LatestStart()) return std::nullopt;
+  auto refusal = Refuse(request, RefusalReason::kDeadlineUnreachable);
+  refusal.retry_after =
+      TimeUntilWaitIs(request, *wait, request.LatestStart() - now);
+  return refusal;
+}
+
+auto AdmissionQueue::MakeRoom(const QueuedRequest& request,
+                              std::vector<Refusal>& shed)
+    -> std::optional<Refusal> {
+  const auto victim_class = ClassToShed(request);
+  if (!victim_class) return std::nullopt;
+  auto& queue = Queue(*victim_class);
+  const auto* arriving =
+      *victim_class == request.priority ? &request.account : nullptr;
+  const auto longest = queue.LongestAccount(arriving, request.account_weight);
+  if (arriving != nullptr && longest == request.account) {
+    return Refuse(request, RefusalReason::kQueueFull);
+  }
+  if (const auto victim = queue.RemoveLastOf(longest)) {
+    shed.push_back(Refuse(*victim, RefusalReason::kShed));
+  }
+  return std::nullopt;
+}
+
+auto AdmissionQueue::ClassToShed(const QueuedRequest& request) const
+    -> std::optional<PriorityClass> {
+  if (Waiting(request.priority) >= options_.class_requests) {
+    return request.priority;
+  }
+  if (TotalWaiting() < options_.total_requests) return std::nullopt;
+  for (auto it = kClasses.rbegin(); it != kClasses.rend(); ++it) {
+    // A request that arrives in a lower class than all others is itself the
+    // last of its class.
+    if (Waiting(*it) > 0 || *it == request.priority) return *it;
+  }
+  return request.priority;
+}
+
+auto AdmissionQueue::Refuse(const QueuedRequest& request,
+                            RefusalReason reason) const -> Refusal {
+  Refusal refusal;
+  refusal.id = request.id;
+  refusal.account = request.account;
+  refusal.priority = request.priority;
+  refusal.reason = reason;
+  // When the requests that are ahead have started there is room again. Without
+  // a measured pace one second is the least that an answer can state.
+  refusal.retry_after = ExpectedWait(request).value_or(std::chrono::seconds(1));
+  return refusal;
+}
+
+auto AdmissionQueue::NextClass() const -> std::optional<PriorityClass> {
+  std::optional<PriorityClass> next;
+  for (const auto priority : kClasses) {
+    if (Waiting(priority) == 0) continue;
+    if (!next ||
+        class_progress_[Index(priority)] < class_progress_[Index(*next)]) {
+      next = priority;
+    }
+  }
+  return next;
+}
+
+auto AdmissionQueue::TakeForStart(Timestamp now)
+    -> std::optional<QueuedRequest> {
+  if (OldestAge(PriorityClass::kBatch, now) >= options_.batch_max_age) {
+    if (auto aged = Queue(PriorityClass::kBatch).TakeOldest()) return aged;
+  }
+  const auto next = NextClass();
+  if (!next) return std::nullopt;
+  return Queue(*next).TakeNext();
+}
+
+auto AdmissionQueue::ChargeClass(PriorityClass priority, Tokens cost) -> void {
+  const auto index = Index(priority);
+  const auto weight = static_cast<double>(options_.class_weights[index]);
+  progress_ = std::max(progress_, class_progress_[index]);
+  class_progress_[index] += static_cast<double>(cost.Value()) / weight;
+}
+
+}  // namespace dotterellug
--- /dev/null
+++ b/modules/admission/retry/retry_decision.cc
@@ -0,0 +1,25 @@
+#include "admission/retry/retry_decision.h"
+
+#include <algorithm>
+
+namespace dotterellug {
+
+auto DecideRetry(const FailedAttempt& attempt, const RetryOptions& options,
+                 RetryBudget& budget, Random& random, Timestamp now)
+    -> RetryDecision {
+  if (attempt.retries >= options.most_retries) {
+    return NoRetry{NoRetryReason::kRetriesUsedUp};
+  }
+  const auto backoff =
+      BackoffDelay(options.backoff, attempt.retries + 1, random);
+  const auto delay = std::max(backoff, attempt.retry_after.value_or(backoff));
+  if (now + delay + attempt.needed > attempt.deadline) {
+    return NoRetry{NoRetryReason::kDeadline};
+  }
+  if (!budget.TryRetry(attempt.account, now)) {
+    return NoRetry{NoRetryReason::kBudget};
+  }
+  return RetryAfterDelay{delay};
+}
+
+}  // namespace dotterellug
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -10,6 +10,7 @@
 #include "core/ids/ids.h"
 #include "core/ids/strong_integer.h"
 #include "core/ids/strong_string.h"
+#include "core/priority/priority_class.h"
 #include "core/random/random.h"
 #include "core/time/time.h"
 #include "core/variant/overloaded.h"
--- a/modules/document/model/serving_document.h
+++ b/modules/document/model/serving_document.h
@@ -6,14 +6,11 @@
 #include <vector>
 
 #include "core/ids/ids.h"
+#include "core/priority/priority_class.h"
 #include "core/time/time.h"
 
 namespace dotterellug {
 
-// Order in which work yields when capacity is short: interactive before
-// standard before batch.
-enum class PriorityClass { kInteractive, kStandard, kBatch };
-
 // Rate and burst of a client account, in tokens, over the whole fleet.
 struct TokenLimit {
   Tokens per_second;
