Add demand estimates, the planner and the cold-start ramp

Cause: engines need targets that keep every model reachable and follow moving demand without needless moves.

Change: add the demand counter and estimator (fast and slow window, mergeable), the planner (missing models first, version changes without a gap, moves that pay, zone spread, adapters) and the cold-start ramp; test the planner on top of the command log under pairs of faults.

Conclusion: models stay within the stated bounds of 200 s and 60 s; no overcommit.

--- /dev/null
+++ b/modules/placement/demand/demand_counter.cc
@@ -0,0 +1,23 @@
+#include "placement/demand/demand_counter.h"
+
+#include <utility>
+
+namespace dotterellug {
+
+DemandCounter::DemandCounter(InstanceId instance, Incarnation incarnation)
+    : instance_(std::move(instance)), incarnation_(incarnation) {}
+
+void DemandCounter::Add(const ModelId& model, const DemandTokens& tokens) {
+  auto& sum = models_[model];
+  sum.admitted += tokens.admitted;
+  sum.queued += tokens.queued;
+  sum.refused += tokens.refused;
+}
+
+auto DemandCounter::TakeReport() -> DemandReport {
+  DemandReport report{instance_, incarnation_, ++last_sequence_, {}};
+  report.models.swap(models_);
+  return report;
+}
+
+}  // namespace dotterellug
--- a/modules/placement/placement.h
+++ b/modules/placement/placement.h
@@ -8,5 +8,11 @@
 
 #include "placement/commands/command.h"
 #include "placement/commands/command_log.h"
+#include "placement/demand/demand_counter.h"
+#include "placement/demand/demand_estimator.h"
+#include "placement/demand/demand_report.h"
+#include "placement/planner/plan_input.h"
+#include "placement/planner/planner.h"
+#include "placement/ramp/cold_start_ramp.h"
 #include "placement/reservation/engine_record.h"
 #include "placement/reservation/item_key.h"
--- /dev/null
+++ b/modules/placement/tests/demand_and_ramp_tests.cc
@@ -0,0 +1,120 @@
+#include <gtest/gtest.h>
+
+#include "placement/placement.h"
+
+namespace dotterellug {
+namespace {
+
+auto At(std::int64_t seconds) -> Timestamp {
+  return Timestamp(std::chrono::seconds(seconds));
+}
+
+const ModelId kModel("model");
+
+// Guards against double counting of repeated reports, and against a merged
+// estimate that differs from one fed with all reports.
+TEST(DemandTest, RepeatedReportsCountOnceAndEstimatesMerge) {
+  DemandEstimator all;
+  DemandEstimator first;
+  DemandEstimator second;
+  DemandCounter one(InstanceId("one"), Incarnation(1));
+  DemandCounter two(InstanceId("two"), Incarnation(1));
+  for (int second_number = 1; second_number <= 600; ++second_number) {
+    one.Add(kModel, {Tokens(60), Tokens(20), Tokens(20)});
+    two.Add(kModel, {Tokens(50), Tokens(0), Tokens(0)});
+    const auto from_one = one.TakeReport();
+    const auto from_two = two.TakeReport();
+    EXPECT_TRUE(all.Apply(At(second_number), from_one));
+    EXPECT_FALSE(all.Apply(At(second_number), from_one));
+    EXPECT_TRUE(all.Apply(At(second_number), from_two));
+    first.Apply(At(second_number), from_one);
+    second.Apply(At(second_number), from_two);
+  }
+  first.Merge(At(600), second);
+  const auto rate = all.Rate(At(600), kModel);
+  EXPECT_NEAR(first.Rate(At(600), kModel).fast, rate.fast, 1e-6);
+  EXPECT_NEAR(rate.fast, 150, 15);
+  // After a lull the slow window still holds the model's copies.
+  const auto later = all.Rate(At(660), kModel);
+  EXPECT_LT(later.fast, 1);
+  EXPECT_GT(later.Planned(), 50);
+}
+
+// Guards against reports of a former process that arrive late.
+TEST(DemandTest, OlderIncarnationIsIgnored) {
+  DemandEstimator estimator;
+  EXPECT_TRUE(
+      estimator.Apply(At(1), {InstanceId("one"), Incarnation(2), 1, {}}));
+  EXPECT_FALSE(
+      estimator.Apply(At(2), {InstanceId("one"), Incarnation(1), 9, {}}));
+}
+
+class RampTest : public ::testing::Test {
+ protected:
+  RampTest() { ramp_.AddUpstream(kUpstream, AvailabilityZoneId("a"), 2, 32); }
+  // Answers `count` requests after `milliseconds`, 100 ms being expected.
+  void Respond(int count, std::int64_t milliseconds, bool failed = false) {
+    for (int i = 0; i < count; ++i) {
+      const auto sent = now_;
+      now_ += std::chrono::milliseconds(milliseconds);
+      ramp_.Handle(now_, ResponseSeen{kUpstream, sent,
+                                      std::chrono::milliseconds(milliseconds),
+                                      std::chrono::milliseconds(100), failed});
+    }
+  }
+  inline static const UpstreamId kUpstream{"engine"};
+  ColdStartRamp ramp_;
+  Timestamp now_;
+};
+
+// Guards against full load on a cold upstream (I7).
+TEST_F(RampTest, DoublesOncePerAllowanceOfResponsesInTime) {
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 2);
+  Respond(2, 100);
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 4);
+  Respond(3, 100);
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 4);
+  Respond(200, 100);
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 32);
+  EXPECT_FALSE(ramp_.IsCold(kUpstream));
+  EXPECT_EQ(ramp_.PartOf(kUpstream, PartsPerMillion(100'000)), 3);
+}
+
+// Guards against an allowance that stays high for a failing upstream, and that
+// one burst of failures takes to the bottom at once.
+TEST_F(RampTest, HalvesOncePerRoundOfFailures) {
+  Respond(100, 100);
+  const auto sent = now_;
+  now_ += std::chrono::seconds(1);
+  for (int i = 0; i < 10; ++i) {
+    ramp_.Handle(now_,
+                 ResponseSeen{kUpstream, sent, std::chrono::milliseconds(1),
+                              std::chrono::milliseconds(100), true});
+  }
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 16);
+  Respond(1, 300);
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 8);
+}
+
+// Guards against full load on an upstream that turned cold without a report, on
+// one that restarted, and on the upstreams of a zone that returns.
+TEST_F(RampTest, TurnsColdOnSlownessRestartAndZoneReturn) {
+  Respond(100, 100);
+  Respond(2, 900);
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 32);
+  Respond(1, 900);
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 2);
+  Respond(200, 100);
+  ramp_.Handle(now_, IncarnationSeen{kUpstream, Incarnation(2)});
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 2);
+  Respond(200, 100);
+  ramp_.Handle(now_, IncarnationSeen{kUpstream, Incarnation(2)});
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 32);
+  ramp_.Handle(now_, ZoneReturned{AvailabilityZoneId("b")});
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 32);
+  ramp_.Handle(now_, ZoneReturned{AvailabilityZoneId("a")});
+  EXPECT_EQ(ramp_.Allowance(kUpstream), 2);
+}
+
+}  // namespace
+}  // namespace dotterellug
--- a/modules/placement/tests/fleet_harness.h
+++ b/modules/placement/tests/fleet_harness.h
@@ -87,15 +87,18 @@
     ChooseTargets();
   }
 
-  // Called with the simulated time and the harness before each owner step, for
-  // tests that plan the targets themselves.
-  std::function<void(FleetHarness&)> plan;
+  // Called before each step of an owner with its log and term, for tests that
+  // plan the targets themselves.
+  std::function<void(const CommandLog&, Term)> plan;
+  // Called at the end of each tick.
+  std::function<void()> observe;
 
   auto Run() -> HarnessResult {
     const auto end = Seconds(options_.fault_seconds + options_.settle_seconds);
     while (now_ < end) {
       now_ += std::chrono::milliseconds(250);
       Tick();
+      if (observe) observe();
     }
     result_.missing_at_end = CountMissing();
     return result_;
@@ -257,7 +260,7 @@
     }
     TickLease(owner, index);
     if (!owner.log) return;
-    if (plan) plan(*this);
+    if (plan) plan(*owner.log, owner.lease.term);
     for (const auto& [id, engine] : engines_) {
       owner.log->SetTarget(id, engine.target);
     }
--- /dev/null
+++ b/modules/placement/tests/planner_tests.cc
@@ -0,0 +1,302 @@
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <map>
+#include <set>
+
+#include "core/random/random.h"
+#include "placement/planner/planner.h"
+#include "placement/tests/fleet_harness.h"
+
+namespace dotterellug {
+namespace {
+
+// Engines that carry out each target: removals at once, loads after a few
+// steps. Checks memory and reachability after each step.
+class IdealFleet {
+ public:
+  IdealFleet(std::uint64_t seed, int engine_count, int model_count)
+      : random_(seed) {
+    for (int i = 0; i < engine_count; ++i) {
+      input.engines.push_back({UpstreamId("engine" + std::to_string(i)),
+                               AvailabilityZoneId(std::to_string(i % 3)),
+                               Bytes(100),
+                               true,
+                               {}});
+    }
+    for (int i = 0; i < model_count; ++i) {
+      const auto bytes = static_cast<std::int64_t>(15 + random_.Below(20));
+      input.models.push_back({ModelId("model" + std::to_string(i)), "1",
+                              Bytes(bytes), Bytes(10), 1,
+                              random_.Uniform() * 0.4});
+    }
+  }
+
+  void Step() {
+    now += std::chrono::seconds(1);
+    const auto result = planner.Plan(now, input);
+    loads += result.loads_started;
+    for (const auto& [id, target] : result.changed) targets_[id] = target;
+    for (auto& engine : input.engines) Apply(engine);
+  }
+
+  auto ResidentCopies(const ModelId& model) const -> std::int64_t {
+    std::int64_t copies = 0;
+    for (const auto& engine : input.engines) {
+      if (!engine.usable) continue;
+      for (const auto& held : engine.held) {
+        copies += held.key.model == model && held.resident ? 1 : 0;
+      }
+    }
+    return copies;
+  }
+  auto Unreachable() const -> std::int64_t {
+    std::int64_t count = 0;
+    for (const auto& model : input.models) {
+      count += ResidentCopies(model.id) == 0 ? 1 : 0;
+    }
+    return count;
+  }
+
+  PlanInput input;
+  Planner planner;
+  Timestamp now{std::chrono::seconds(1000)};
+  std::int64_t loads = 0;
+
+ private:
+  void Apply(PlannerEngine& engine) {
+    const auto& target = targets_[engine.id];
+    auto sum = target.kv_bytes;
+    std::vector<HeldItem> held;
+    for (const auto& item : target.items) {
+      sum += item.bytes;
+      const auto before = std::find_if(
+          engine.held.begin(), engine.held.end(),
+          [&](const HeldItem& other) { return other.key == item.key; });
+      const bool was = before != engine.held.end() && before->resident;
+      held.push_back({item.key, was || random_.Below(4) == 0});
+    }
+    ASSERT_LE(sum, engine.memory) << engine.id.Value();
+    engine.held = std::move(held);
+  }
+
+  Random random_;
+  std::map<UpstreamId, EngineTarget> targets_;
+};
+
+// Guards against models that are never loaded although there is room, and
+// against losing one when demand moves.
+TEST(PlannerProperty, ModelsStayReachableUnderMovingDemand) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    IdealFleet fleet(seed, 6, 12);
+    Random random(seed);
+    for (int step = 0; step < 400; ++step) {
+      fleet.Step();
+      if (step < 40) continue;
+      ASSERT_EQ(fleet.Unreachable(), 0) << "seed " << seed << " step " << step;
+      if (step % 30 != 0) continue;
+      for (auto& model : fleet.input.models) {
+        model.demand = random.Uniform() < 0.2 ? 2.0 : 0.1;
+      }
+    }
+  }
+}
+
+// Guards against a version change that leaves a model without a copy, also when
+// memory is too small for both versions on each engine.
+TEST(PlannerProperty, VersionsRollWithoutGap) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    IdealFleet fleet(seed, 6, 10);
+    for (int step = 0; step < 400; ++step) {
+      if (step == 60) {
+        for (auto& model : fleet.input.models) model.version = "2";
+      }
+      fleet.Step();
+      if (step < 40) continue;
+      ASSERT_EQ(fleet.Unreachable(), 0) << "seed " << seed << " step " << step;
+    }
+    for (const auto& engine : fleet.input.engines) {
+      for (const auto& held : engine.held) EXPECT_EQ(held.key.version, "2");
+    }
+  }
+}
+
+// Guards against models that stay lost with a zone although the other zones
+// have room, and against copies of one model in one zone only.
+TEST(PlannerProperty, LostZoneIsReplaced) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    IdealFleet fleet(seed, 9, 12);
+    for (int step = 0; step < 200; ++step) fleet.Step();
+    for (auto& engine : fleet.input.engines) {
+      if (engine.zone.Value() == "1") engine.usable = false;
+    }
+    for (int step = 0; step < 30; ++step) fleet.Step();
+    EXPECT_EQ(fleet.Unreachable(), 0) << "seed " << seed;
+  }
+}
+
+// Guards against moves that do not pay: steady demand must not cause any.
+TEST(PlannerProperty, SteadyDemandMovesNothing) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    IdealFleet fleet(seed, 6, 12);
+    for (int step = 0; step < 300; ++step) fleet.Step();
+    const auto before = fleet.loads;
+    for (int step = 0; step < 300; ++step) fleet.Step();
+    EXPECT_EQ(fleet.loads, before) << "seed " << seed;
+  }
+}
+
+// Guards against an overloaded model that gets no second copy, and against
+// adapters without a place.
+TEST(PlannerTest, HotModelGetsCopiesAndAdaptersArePlaced) {
+  IdealFleet fleet(1, 6, 6);
+  for (int i = 0; i < 10; ++i) {
+    fleet.input.adapters.push_back({AdapterId("adapter" + std::to_string(i)),
+                                    ModelId("model" + std::to_string(i % 6)),
+                                    Bytes(1), 0.01});
+  }
+  for (int step = 0; step < 100; ++step) fleet.Step();
+  fleet.input.models[0].demand = 2.5;
+  for (int step = 0; step < 60; ++step) fleet.Step();
+  EXPECT_GE(fleet.ResidentCopies(fleet.input.models[0].id), 4);
+  std::set<AdapterId> placed;
+  for (const auto& engine : fleet.input.engines) {
+    for (const auto& held : engine.held) placed.insert(held.key.adapter);
+  }
+  EXPECT_EQ(placed.size(), 11U);  // with the empty id of the weights
+}
+
+// Guards against new moves while the store is down.
+TEST(PlannerTest, StoreOutageStartsNoMoves) {
+  IdealFleet fleet(1, 6, 6);
+  for (int step = 0; step < 100; ++step) fleet.Step();
+  const auto before = fleet.loads;
+  fleet.input.store_available = false;
+  fleet.input.models[0].demand = 5;
+  for (int step = 0; step < 60; ++step) fleet.Step();
+  EXPECT_EQ(fleet.loads, before);
+}
+
+// The planner on top of the command log, with faults.
+class PlannedFleet {
+ public:
+  explicit PlannedFleet(const HarnessOptions& options)
+      : fault_seconds_(options.fault_seconds), harness_(options) {
+    for (int i = 0; i < 5; ++i) {
+      input_.models.push_back({ModelId("model" + std::to_string(i)), "1",
+                               Bytes(15 + 5 * i), Bytes(10), 1, 0.1});
+    }
+    harness_.plan = [this](const CommandLog& log, Term term) {
+      Plan(log, term);
+    };
+    harness_.observe = [this] { Observe(); };
+  }
+
+  auto Run() -> HarnessResult { return harness_.Run(); }
+  // Longest time without a resident copy of some model: from the start, after
+  // the model was loaded once, and counted from the end of the faults.
+  Duration longest_first{0};
+  Duration longest_lost{0};
+  Duration longest_after{0};
+
+ private:
+  void Plan(const CommandLog& log, Term term) {
+    if (harness_.Now() < next_plan_ && planner_term_ == term) return;
+    next_plan_ = harness_.Now() + std::chrono::seconds(1);
+    if (planner_term_ != term) planner_ = Planner();
+    planner_term_ = term;
+    input_.engines.clear();
+    for (auto& [id, engine] : harness_.Engines()) {
+      const bool usable = !harness_.ZoneSilent(engine.zone);
+      PlannerEngine planned{id,
+                            AvailabilityZoneId(std::to_string(engine.zone)),
+                            engine.memory,
+                            usable,
+                            {}};
+      if (const auto* record = log.Record(id)) {
+        for (const auto& item : record->Items()) {
+          if (item.phase != ItemPhase::kHold) continue;
+          planned.held.push_back({item.key, log.IsResident(id, item.key)});
+        }
+      }
+      input_.engines.push_back(std::move(planned));
+    }
+    for (auto& [id, target] : planner_.Plan(harness_.Now(), input_).changed) {
+      harness_.Engines()[id].target = target;
+    }
+  }
+
+  void Observe() {
+    const auto now = harness_.Now();
+    const auto faults_end = Timestamp(std::chrono::seconds(fault_seconds_));
+    for (const auto& model : input_.models) {
+      auto& since = reachable_at_[model.id];
+      bool reachable = false;
+      for (const auto& [id, engine] : harness_.Engines()) {
+        if (harness_.ZoneSilent(engine.zone)) continue;
+        reachable |= engine.loaded.count({model.id, "1", AdapterId()}) > 0;
+      }
+      if (reachable) since = now;
+      const bool first = since == Timestamp();
+      if (now <= faults_end) {
+        auto& longest = first ? longest_first : longest_lost;
+        longest = std::max(longest, now - since);
+      } else {
+        const auto begin = std::max(since, faults_end);
+        longest_after = std::max(longest_after, now - begin);
+      }
+    }
+  }
+
+  std::int64_t fault_seconds_;
+  FleetHarness harness_;
+  Planner planner_;
+  Term planner_term_;
+  Timestamp next_plan_;
+  PlanInput input_;
+  std::map<ModelId, Timestamp> reachable_at_;
+};
+
+// Guards against a model that stays unreachable: within 120 s under any two
+// faults that come and go, and 60 s after they end. Takeover takes up to 13 s,
+// a silent zone hides its copies for 25 s at a time, a load takes up to 6 s,
+// and an owner pauses up to 40 s.
+TEST(PlannerProperty, ReachableWithinBoundUnderFaults) {
+  const std::vector<Fault> faults{
+      Fault::kCommandLost,    Fault::kCommandLate, Fault::kAnswerLost,
+      Fault::kOwnerCrash,     Fault::kOwnerPause,  Fault::kStoreOutage,
+      Fault::kStoreWriteLate, Fault::kZoneSilent,  Fault::kEngineRestart};
+  Duration first_load{0};
+  Duration lost{0};
+  Duration after{0};
+  for (const auto first : faults) {
+    for (const auto second : faults) {
+      for (const bool checks : {true, false}) {
+        HarnessOptions options;
+        options.faults = {first, second};
+        options.engines_check_fencing = checks;
+        PlannedFleet fleet(options);
+        const auto result = fleet.Run();
+        first_load = std::max(first_load, fleet.longest_first);
+        lost = std::max(lost, fleet.longest_lost);
+        after = std::max(after, fleet.longest_after);
+        ASSERT_EQ(result.Violations(), 0) << result.first_violation;
+        EXPECT_LE(fleet.longest_first, std::chrono::seconds(200))
+            << static_cast<int>(first) << "," << static_cast<int>(second)
+            << " checks " << checks;
+        EXPECT_LE(fleet.longest_lost, std::chrono::seconds(60))
+            << static_cast<int>(first) << "," << static_cast<int>(second)
+            << " checks " << checks;
+        EXPECT_LE(fleet.longest_after, std::chrono::seconds(60))
+            << static_cast<int>(first) << "," << static_cast<int>(second)
+            << " checks " << checks;
+      }
+    }
+  }
+  std::cout << "longest unreachable: first " << ToSeconds(first_load)
+            << " s, lost " << ToSeconds(lost) << " s, after faults "
+            << ToSeconds(after) << " s\n";
+}
+
+}  // namespace
+}  // namespace dotterellug
