Compare documents and edit sections by expression

Cause: Operators and tools need to see what an edit changes, and to change one value without writing out the section.

Change: DiffDocuments compares two documents by entry and key. EditSection applies expressions such as zones[a].out=true to a section's text.

--- a/modules/document/document.h
+++ b/modules/document/document.h
@@ -4,6 +4,8 @@
 // models, adapters, availability zones, limits, upstreams and routes.
 // Needs: core, yaml, yaml-cpp, libsodium.
 
+#include "document/diff/document_diff.h"
+#include "document/edit/section_edit.h"
 #include "document/format/document_formatter.h"
 #include "document/keys/caller_key_text.h"
 #include "document/keys/digest_key.h"
--- a/modules/yaml/yaml.h
+++ b/modules/yaml/yaml.h
@@ -10,3 +10,4 @@
 #include "yaml/rules/rules.h"
 #include "yaml/tree/tree_builder.h"
 #include "yaml/tree/yaml_node.h"
+#include "yaml/tree/yaml_writer.h"
