Include the thread header where it is used

Cause: completion_call.cc did not compile without an indirect include. Change: the include. Conclusion: none beyond the fix.

--- a/daemon/traffic/completion_call.cc
+++ b/daemon/traffic/completion_call.cc
@@ -1,6 +1,7 @@
 #include "daemon/traffic/completion_call.h"
 
 #include <nlohmann/json.hpp>
+#include <thread>
 #include <utility>
 
 #include "daemon/traffic/class_name.h"
