--- a/modules/store/memory/memory_object_store.cc
+++ b/modules/store/memory/memory_object_store.cc
@@ -56,7 +56,7 @@
 }
 
 auto MemoryObjectStore::Get(const std::string& name) -> Result<ObjectRecord> {
-  const std::lock_guard lock(backend_->mutex_);
+  const auto lock = Enter();
   const auto action = backend_->Begin(OperationKind::kGet, name);
   const auto failure = ReadFault(action);
   if (!failure) return tl::unexpected<Error>(failure.error());
@@ -77,7 +77,7 @@
 }
 
 auto MemoryObjectStore::List(const std::string& prefix) -> Result<ListResult> {
-  const std::lock_guard lock(backend_->mutex_);
+  const auto lock = Enter();
   const auto action = backend_->Begin(OperationKind::kList, prefix);
   const auto failure = ReadFault(action);
   if (!failure) return tl::unexpected<Error>(failure.error());
@@ -89,7 +89,7 @@
 
 auto MemoryObjectStore::Watch(const std::string& prefix, WatchPosition after,
                               Duration /*max_wait*/) -> Result<WatchResult> {
-  const std::lock_guard lock(backend_->mutex_);
+  const auto lock = Enter();
   const auto action = backend_->Begin(OperationKind::kWatch, prefix);
   const auto failure = ReadFault(action);
   if (!failure) return tl::unexpected<Error>(failure.error());
@@ -100,7 +100,7 @@
 
 auto MemoryObjectStore::Write(const MemoryObjectBackend::LateWrite& write)
     -> Result<ObjectVersion> {
-  const std::lock_guard lock(backend_->mutex_);
+  const auto lock = Enter();
   const auto action = backend_->Begin(write.operation, write.name);
   switch (action.fault) {
     case FaultKind::kRefused:
@@ -123,6 +123,11 @@
   return result;
 }
 
+auto MemoryObjectStore::Enter() const -> std::unique_lock<std::mutex> {
+  if (before_call_) before_call_();
+  return std::unique_lock(backend_->mutex_);
+}
+
 auto MemoryObjectStore::ReadFault(const FaultAction& action) const
     -> Result<void> {
   switch (action.fault) {
--- a/modules/store/memory/memory_object_store.h
+++ b/modules/store/memory/memory_object_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -47,9 +48,16 @@
 // for, and a watch without changes returns at once.
 class MemoryObjectStore {
  public:
+  // Called before each call takes effect, without any lock; tests use it to
+  // interleave clients.
+  using BeforeCall = std::function<void()>;
+
   explicit MemoryObjectStore(std::shared_ptr<MemoryObjectBackend> backend,
-                             Duration timeout = std::chrono::seconds(1))
-      : backend_(std::move(backend)), timeout_(timeout) {}
+                             Duration timeout = std::chrono::seconds(1),
+                             BeforeCall before_call = {})
+      : backend_(std::move(backend)),
+        timeout_(timeout),
+        before_call_(std::move(before_call)) {}
 
   auto Get(const std::string& name) -> Result<ObjectRecord>;
   auto Put(const std::string& name, const std::string& value,
@@ -63,11 +71,14 @@
  private:
   auto Write(const MemoryObjectBackend::LateWrite& write)
       -> Result<ObjectVersion>;
+  // Runs the hook, then locks the backend.
+  auto Enter() const -> std::unique_lock<std::mutex>;
   // The failure of a read that `action` prevents; success when it does not.
   auto ReadFault(const FaultAction& action) const -> Result<void>;
 
   std::shared_ptr<MemoryObjectBackend> backend_;
   Duration timeout_;
+  BeforeCall before_call_;
 };
 
 }  // namespace dotterellug
