--- a/modules/document/tests/document_parser_tests.cc
+++ b/modules/document/tests/document_parser_tests.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <iterator>
+#include <sstream>
 #include <string>
 
 #include "document/document.h"
@@ -100,6 +103,22 @@
   EXPECT_EQ(document.limits.batch_max_age, std::chrono::minutes(5));
 }
 
+// Guards against a key that the operators' page does not mention.
+TEST(DocumentParserTest, OperatorsPageNamesEveryKey) {
+  std::ifstream file(std::string(DOTTERELLUG_SOURCE_DIR) +
+                     "/docs/operations/serving-document.md");
+  const std::string page{std::istreambuf_iterator<char>(file),
+                         std::istreambuf_iterator<char>()};
+  for (const auto section : kAllSections) {
+    std::istringstream lines(ValidTexts().Get(section));
+    for (std::string line; std::getline(lines, line);) {
+      const auto begin = line.find_first_not_of("- ");
+      const auto key = line.substr(begin, line.find(':') - begin);
+      EXPECT_NE(page.find("`" + key + "`"), std::string::npos) << key;
+    }
+  }
+}
+
 TEST(DocumentParserTest, EmptyTextsGiveAnEmptyDocument) {
   EXPECT_TRUE(ParseDocument(SectionTexts{}));
 }
