--- a/modules/document/edit/section_edit.cc
+++ b/modules/document/edit/section_edit.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "document/sections/document_parser.h"
+#include "yaml/rules/rules.h"
 #include "yaml/tree/tree_builder.h"
 #include "yaml/tree/yaml_writer.h"
 
@@ -27,6 +28,13 @@
               "LIST[ID]=");
 }
 
+auto Scalar(std::string text) -> YamlNode {
+  YamlNode node;
+  node.kind = YamlKind::kScalar;
+  node.text = std::move(text);
+  return node;
+}
+
 auto ParseTarget(std::string_view expression) -> Result<EditTarget> {
   const auto equals = expression.find('=');
   if (equals == std::string_view::npos || equals == 0) {
@@ -56,11 +64,18 @@
   return target;
 }
 
-auto Scalar(std::string text) -> YamlNode {
-  YamlNode node;
-  node.kind = YamlKind::kScalar;
-  node.text = std::move(text);
-  return node;
+// Names in an expression follow the rule for names in the document.
+auto CheckNames(const EditTarget& target) -> Result<bool> {
+  for (const auto* name : {&target.list, &target.id, &target.key}) {
+    if (name->empty()) continue;
+    const auto parsed = IdRule{}.Parse(Scalar(*name));
+    if (!parsed) {
+      return Fail(ErrorKind::kInvalidArgument,
+                  "\"" + Shorten(*name) + "\" is " + parsed.error().message,
+                  parsed.error().remedy);
+    }
+  }
+  return true;
 }
 
 auto FindEntry(YamlNode& map, const std::string& key)
@@ -131,6 +146,8 @@
     -> Result<std::string> {
   const auto target = ParseTarget(expression);
   if (!target) return tl::unexpected<Error>(target.error());
+  const auto names = CheckNames(*target);
+  if (!names) return tl::unexpected<Error>(names.error());
   auto root = ReadYaml(text, "section", kSectionLimits);
   if (!root) {
     return Fail(ErrorKind::kInvalidArgument, root.error().Text(),
