--- /dev/null
+++ b/daemon/control/control_event.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <set>
+#include <string>
+#include <variant>
+
+#include "core/core.h"
+#include "daemon/control/upstream_monitor.h"
+#include "document/document.h"
+#include "revision/revision.h"
+
+namespace dotterellug {
+
+// The object API answered; an answer proves that `ref` was its latest revision
+// at `asked_at`.
+struct StoreAnswered {
+  Timestamp asked_at;
+  std::optional<RevisionRef> ref;
+};
+struct StoreFailed {};
+// A revision was fetched, verified and parsed.
+struct RevisionFetched {
+  RevisionRef ref;
+  ServingDocument document;
+};
+// A revision that is in force elsewhere could not be parsed here.
+struct RevisionRejected {
+  RevisionRef ref;
+  std::string fault;
+};
+struct InstanceListRead {
+  std::set<InstanceId> live;
+  std::set<InstanceId> leaving;
+};
+
+using ControlEvent =
+    std::variant<UpstreamObservation, StoreAnswered, StoreFailed,
+                 RevisionFetched, RevisionRejected, InstanceListRead>;
+
+}  // namespace dotterellug
--- /dev/null
+++ b/daemon/control/control_loop.cc
@@ -0,0 +1,126 @@
+#include "daemon/control/control_loop.h"
+
+#include <utility>
+
+namespace dotterellug {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+
+}  // namespace
+
+ControlLoop::ControlLoop(SharedState& state, DigestKey digest_key,
+                         const DaemonSettings& settings)
+    : state_(state), digest_key_(digest_key), follower_({}) {
+  static_cast<void>(settings);
+  thread_ = std::thread([this] { Run(); });
+}
+
+ControlLoop::~ControlLoop() {
+  stopping_ = true;
+  thread_.join();
+}
+
+auto ControlLoop::CurrencyAge() const -> Duration {
+  return MonotonicNow() - Timestamp(Duration(proved_at_us_.load()));
+}
+
+auto ControlLoop::Run() -> void {
+  while (!stopping_) {
+    auto event = mailbox_.Receive(kTick);
+    if (event) Handle(*event);
+    Tick();
+  }
+}
+
+auto ControlLoop::Handle(ControlEvent& event) -> void {
+  const auto now = MonotonicNow();
+  std::visit(
+      Overloaded{
+          [&](UpstreamObservation& observation) {
+            if (const auto table = state_.routing.Load()) {
+              if (const auto load = table->LoadOf(observation.upstream);
+                  load && observation.reachable) {
+                load->ApplyReport(observation.load);
+              }
+            }
+            if (fleet_.Observe(observation, now)) PublishRouting();
+          },
+          [&](StoreAnswered& answer) {
+            if (!store_up_) LogState(LogSeverity::kInfo, "object API answers");
+            store_up_ = true;
+            if (answer.ref) {
+              const auto result = follower_.OnStoreAnswer(*answer.ref);
+              if (result == OfferResult::kIgnored) {
+                state_.metrics.Count(Event::kStaleRevision);
+              }
+            }
+            // The proof holds from the moment of the question, and only when
+            // nothing newer is known.
+            if (follower_.Current() == follower_.Target()) {
+              proved_at_ = std::max(proved_at_, answer.asked_at);
+              proved_at_us_ = proved_at_.time_since_epoch().count();
+            }
+          },
+          [&](StoreFailed&) {
+            state_.metrics.Count(Event::kStoreError);
+            if (store_up_) {
+              LogState(LogSeverity::kWarning, "object API does not answer");
+            }
+            store_up_ = false;
+            follower_.OnStoreFailure();
+          },
+          [&](RevisionFetched& fetched) { Adopt(fetched); },
+          [&](RevisionRejected& rejected) {
+            LogState(LogSeverity::kError, "revision cannot be read",
+                     {{"revision", std::to_string(rejected.ref.number.Value())},
+                      {"fault", rejected.fault}});
+          },
+          [&](InstanceListRead& list) { ApplyInstanceList(list); }},
+      event);
+}
+
+auto ControlLoop::Adopt(RevisionFetched& fetched) -> void {
+  if (!follower_.Adopt(fetched.ref)) {
+    state_.metrics.Count(Event::kStaleRevision);
+    return;
+  }
+  const auto snapshot = MakeSnapshot(fetched.ref.number,
+                                     std::move(fetched.document), digest_key_);
+  fleet_.SetSnapshot(snapshot);
+  state_.snapshot.Store(snapshot);
+  if (monitor_ != nullptr) monitor_->SetDocument(snapshot);
+  PublishRouting();
+  state_.metrics.Set(Level::kRevision,
+                     static_cast<double>(fetched.ref.number.Value()));
+  LogState(LogSeverity::kInfo, "revision in force",
+           {{"revision", std::to_string(fetched.ref.number.Value())}});
+  if (!ready_) {
+    ready_ = true;
+    LogState(LogSeverity::kInfo, "ready");
+  }
+}
+
+auto ControlLoop::ApplyInstanceList(const InstanceListRead& list) -> void {
+  std::set<UpstreamId> leaving;
+  for (const auto& instance : list.leaving) {
+    leaving.insert(UpstreamId(instance.Value()));
+  }
+  if (fleet_.SetLeaving(std::move(leaving))) PublishRouting();
+}
+
+auto ControlLoop::PublishRouting() -> void {
+  if (!state_.snapshot.Load()) return;
+  const auto previous = state_.routing.Load();
+  state_.routing.Store(fleet_.BuildTable(previous.get()));
+  state_.gate.NotifyRoom();
+}
+
+auto ControlLoop::Tick() -> void {
+  if (fleet_.Expire(MonotonicNow())) PublishRouting();
+  state_.metrics.Set(Level::kUpstreamsUp,
+                     static_cast<double>(fleet_.UpCount()));
+  state_.metrics.Set(Level::kCurrencyAgeSeconds, ToSeconds(CurrencyAge()));
+}
+
+}  // namespace dotterellug
--- /dev/null
+++ b/daemon/control/control_loop.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <thread>
+
+#include "daemon/control/control_event.h"
+#include "daemon/control/fleet_view.h"
+#include "daemon/control/mailbox.h"
+#include "daemon/state/shared_state.h"
+#include "settings/settings.h"
+
+namespace dotterellug {
+
+// The control thread. It owns all control state, takes events from a mailbox,
+// and publishes snapshots for the traffic threads.
+class ControlLoop {
+ public:
+  ControlLoop(SharedState& state, DigestKey digest_key,
+              const DaemonSettings& settings);
+  ControlLoop(const ControlLoop&) = delete;
+  auto operator=(const ControlLoop&) -> ControlLoop& = delete;
+  ~ControlLoop();
+
+  // Callable from any thread.
+  auto Send(ControlEvent event) -> void { mailbox_.Send(std::move(event)); }
+  auto IsReady() const -> bool { return ready_; }
+  // Age of the last proof that the revision is current.
+  auto CurrencyAge() const -> Duration;
+
+  // The monitor that gets each new document; set once before events arrive.
+  auto SetMonitor(UpstreamMonitor* monitor) -> void { monitor_ = monitor; }
+
+ private:
+  auto Run() -> void;
+  auto Handle(ControlEvent& event) -> void;
+  auto Adopt(RevisionFetched& fetched) -> void;
+  auto ApplyInstanceList(const InstanceListRead& list) -> void;
+  auto Tick() -> void;
+  auto PublishRouting() -> void;
+
+  SharedState& state_;
+  DigestKey digest_key_;
+  RevisionFollower follower_;
+  FleetView fleet_;
+  UpstreamMonitor* monitor_ = nullptr;
+  Mailbox<ControlEvent> mailbox_;
+  Timestamp proved_at_;
+  bool store_up_ = false;
+  std::atomic<std::int64_t> proved_at_us_{0};
+  std::atomic<bool> ready_{false};
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace dotterellug
--- a/daemon/control/fleet_view.cc
+++ b/daemon/control/fleet_view.cc
@@ -34,8 +34,8 @@
                        seen.adapters != observation.adapters ||
                        seen.incarnation != observation.incarnation;
   if (seen.incarnation != observation.incarnation) {
-    ramp_.Handle(now, IncarnationSeen{observation.upstream,
-                                      observation.incarnation});
+    ramp_.Handle(
+        now, IncarnationSeen{observation.upstream, observation.incarnation});
   }
   seen.up = true;
   seen.answered_at = now;
@@ -68,9 +68,9 @@
   for (const auto& [id, seen] : seen_) {
     UpstreamStatus status;
     status.id = id;
-    status.state = !seen.up                  ? UpstreamState::kDown
+    status.state = !seen.up                 ? UpstreamState::kDown
                    : leaving_.count(id) > 0 ? UpstreamState::kLeaving
-                                             : UpstreamState::kLive;
+                                            : UpstreamState::kLive;
     status.models = seen.models;
     status.adapters = seen.adapters;
     // At least one request, so that a small share does not make the upstream
--- /dev/null
+++ b/daemon/control/instance_list_reader.cc
@@ -0,0 +1,72 @@
+#include "daemon/control/instance_list_reader.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace dotterellug {
+namespace {
+
+constexpr Duration kInterval = std::chrono::milliseconds(500);
+constexpr Duration kTimeout = std::chrono::seconds(1);
+
+auto Parse(const std::string& body) -> std::optional<InstanceListRead> {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("instances") ||
+      !json["instances"].is_array()) {
+    return std::nullopt;
+  }
+  InstanceListRead list;
+  for (const auto& entry : json["instances"]) {
+    if (!entry.is_object()) return std::nullopt;
+    const InstanceId id(entry.value("id", ""));
+    if (entry.value("state", "") == "leaving") {
+      list.leaving.insert(id);
+    } else {
+      list.live.insert(id);
+    }
+  }
+  return list;
+}
+
+}  // namespace
+
+InstanceListReader::InstanceListReader(const UpstreamTarget& list, Send send)
+    : target_(list), send_(std::move(send)) {
+  thread_ = std::thread([this] { Run(); });
+}
+
+InstanceListReader::~InstanceListReader() {
+  stopping_ = true;
+  thread_.join();
+}
+
+auto InstanceListReader::ReadOnce(UpstreamExchange& exchange)
+    -> std::optional<InstanceListRead> {
+  UpstreamCall call;
+  call.target = target_;
+  call.method = "GET";
+  call.url = "/v1/instances";
+  call.attempt = RequestId("list");
+  call.repeatable = true;
+  const auto head = exchange.Begin(call, kTimeout);
+  if (!head || head->status != 200) return std::nullopt;
+  std::string body;
+  while (true) {
+    auto progress = exchange.Read(kTimeout);
+    if (!progress) return std::nullopt;
+    if (std::holds_alternative<BodyFinished>(*progress)) return Parse(body);
+    body += std::get<BodyPart>(*progress).bytes;
+  }
+}
+
+auto InstanceListReader::Run() -> void {
+  std::unique_ptr<UpstreamExchange> exchange;
+  while (!stopping_) {
+    if (!exchange) exchange = std::make_unique<UpstreamExchange>(target_);
+    if (auto list = ReadOnce(*exchange)) send_(std::move(*list));
+    if (!exchange->Reusable()) exchange.reset();
+    std::this_thread::sleep_for(kInterval);
+  }
+}
+
+}  // namespace dotterellug
--- /dev/null
+++ b/daemon/control/instance_list_reader.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include "daemon/control/control_event.h"
+#include "upstream/upstream.h"
+
+namespace dotterellug {
+
+// Reads the platform's instance list every second on a thread of its own.
+class InstanceListReader {
+ public:
+  using Send = std::function<auto(ControlEvent)->void>;
+
+  InstanceListReader(const UpstreamTarget& list, Send send);
+  InstanceListReader(const InstanceListReader&) = delete;
+  auto operator=(const InstanceListReader&) -> InstanceListReader& = delete;
+  ~InstanceListReader();
+
+ private:
+  auto Run() -> void;
+  auto ReadOnce(UpstreamExchange& exchange) -> std::optional<InstanceListRead>;
+
+  UpstreamTarget target_;
+  Send send_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace dotterellug
--- a/daemon/control/upstream_monitor.cc
+++ b/daemon/control/upstream_monitor.cc
@@ -77,10 +77,9 @@
       for (const auto& [id, upstream] : snapshot->document.upstreams) {
         if (index++ % kThreads != thread || stopping_) continue;
         auto& exchange = exchanges[id];
-        const bool moved = exchange && (exchange->Target().host !=
-                                            upstream.host ||
-                                        exchange->Target().port !=
-                                            upstream.port);
+        const bool moved =
+            exchange && (exchange->Target().host != upstream.host ||
+                         exchange->Target().port != upstream.port);
         if (!exchange || moved) {
           exchange = std::make_unique<UpstreamExchange>(
               UpstreamTarget{upstream.host, upstream.port});
--- a/modules/revision/model/revision.h
+++ b/modules/revision/model/revision.h
@@ -11,10 +11,10 @@
 namespace dotterellug {
 
 // A part of the serving document that one team owns, such as "models".
-using SectionName = StrongString<struct SectionNameTag>;
+using SectionKey = StrongString<struct SectionKeyTag>;
 // Hexadecimal BLAKE2b-256 of a text.
 using ContentDigest = StrongString<struct ContentDigestTag>;
-using SectionTexts = std::map<SectionName, std::string>;
+using RevisionTexts = std::map<SectionKey, std::string>;
 
 // Object that names the latest revision; its conditional update is the commit.
 inline constexpr char kHeadObject[] = "config/head";
@@ -50,7 +50,7 @@
   std::string reason;
   // When the author made the edit, for history only.
   WallTime time;
-  std::map<SectionName, SectionRef> sections;
+  std::map<SectionKey, SectionRef> sections;
 };
 
 // Value of kHeadObject.
