--- a/modules/revision/commit/edit.h
+++ b/modules/revision/commit/edit.h
@@ -22,13 +22,13 @@
   std::string reason;
   WallTime time;
   // New texts of the changed sections; empty to remove a section.
-  std::map<SectionKey, std::optional<std::string>> sections;
+  std::map<SectionName, std::optional<std::string>> sections;
 };
 
 // Edits of one section that were made at the same time. A missing text means
 // that the section does not exist there.
 struct SectionConflict {
-  SectionKey section;
+  SectionName section;
   std::optional<std::string> base;
   std::optional<std::string> theirs;
   std::optional<std::string> ours;
@@ -52,6 +52,6 @@
 using CommitOutcome = std::variant<Committed, EditConflict>;
 
 // Checks a whole document; a failure keeps the edit from being committed.
-using ValidateDocument = std::function<Result<void>(const RevisionTexts&)>;
+using ValidateDocument = std::function<Result<void>(const SectionTexts&)>;
 
 }  // namespace dotterellug
--- a/modules/revision/commit/revision_repository.cc
+++ b/modules/revision/commit/revision_repository.cc
@@ -20,7 +20,7 @@
   return tl::unexpected<Error>(error);
 }
 
-auto FindText(const RevisionTexts& texts, const SectionKey& section)
+auto FindText(const SectionTexts& texts, const SectionName& section)
     -> std::optional<std::string> {
   const auto found = texts.find(section);
   if (found == texts.end()) return std::nullopt;
@@ -44,7 +44,7 @@
   return section;
 }
 
-void ApplyToTexts(const Edit& edit, RevisionTexts& texts) {
+void ApplyToTexts(const Edit& edit, SectionTexts& texts) {
   for (const auto& [name, text] : edit.sections) {
     if (text) {
       texts[name] = *text;
@@ -160,7 +160,7 @@
   if (!to) return Forward(to.error());
   Edit edit{request.id,     *head,        request.author,
             request.reason, request.time, {}};
-  std::set<SectionKey> names = request.sections;
+  std::set<SectionName> names = request.sections;
   if (names.empty()) {
     for (const auto& [name, text] : from->texts) names.insert(name);
     for (const auto& [name, text] : to->texts) names.insert(name);
--- a/modules/revision/commit/revision_repository.h
+++ b/modules/revision/commit/revision_repository.h
@@ -16,7 +16,7 @@
 struct LoadedRevision {
   RevisionRef ref;
   Revision revision;
-  RevisionTexts texts;
+  SectionTexts texts;
 };
 
 // Author of a rollback and why it is made; see Edit.
@@ -27,7 +27,7 @@
   WallTime time;
   // The earlier revision, and the sections to take from it (empty: all).
   RevisionNumber target;
-  std::set<SectionKey> sections;
+  std::set<SectionName> sections;
 };
 
 // The revisions of the serving document in the object store. Waits for nothing:
--- a/modules/revision/content/immutable_objects.cc
+++ b/modules/revision/content/immutable_objects.cc
@@ -80,7 +80,7 @@
 }
 
 auto ImmutableObjects::Assemble(const RevisionRef& ref) const
-    -> Result<RevisionTexts> {
+    -> Result<SectionTexts> {
   const auto missing = Missing(ref);
   if (!missing) return tl::unexpected<Error>(missing.error());
   if (!missing->empty()) {
@@ -88,7 +88,7 @@
                 "fetch it first");
   }
   const auto revision = ParseRevision(*Find(ref.object));
-  RevisionTexts texts;
+  SectionTexts texts;
   for (const auto& [name, section] : revision->sections) {
     auto& text = texts[name];
     for (const auto& chunk : section.chunks) text += *Find(chunk);
--- a/modules/revision/content/immutable_objects.h
+++ b/modules/revision/content/immutable_objects.h
@@ -33,7 +33,7 @@
   auto Missing(const RevisionRef& ref) const
       -> Result<std::vector<std::string>>;
   // The texts of all sections; kNotFound while something is missing.
-  auto Assemble(const RevisionRef& ref) const -> Result<RevisionTexts>;
+  auto Assemble(const RevisionRef& ref) const -> Result<SectionTexts>;
 
  private:
   std::unordered_map<std::string, std::string> objects_;
--- a/modules/revision/model/revision.cc
+++ b/modules/revision/model/revision.cc
@@ -63,7 +63,7 @@
     revision.time = WallTime(
         std::chrono::milliseconds(json.at("time_ms").get<std::int64_t>()));
     for (const auto& [name, section] : json.at("sections").items()) {
-      revision.sections[SectionKey(name)] = ParseSection(section);
+      revision.sections[SectionName(name)] = ParseSection(section);
     }
     return revision;
   });
--- a/modules/revision/model/revision.h
+++ b/modules/revision/model/revision.h
@@ -11,10 +11,10 @@
 namespace dotterellug {
 
 // A part of the serving document that one team owns, such as "models".
-using SectionKey = StrongString<struct SectionKeyTag>;
+using SectionName = StrongString<struct SectionNameTag>;
 // Hexadecimal BLAKE2b-256 of a text.
 using ContentDigest = StrongString<struct ContentDigestTag>;
-using RevisionTexts = std::map<SectionKey, std::string>;
+using SectionTexts = std::map<SectionName, std::string>;
 
 // Object that names the latest revision; its conditional update is the commit.
 inline constexpr char kHeadObject[] = "config/head";
@@ -50,7 +50,7 @@
   std::string reason;
   // When the author made the edit, for history only.
   WallTime time;
-  std::map<SectionKey, SectionRef> sections;
+  std::map<SectionName, SectionRef> sections;
 };
 
 // Value of kHeadObject.
--- a/modules/revision/tests/revision_tests.cc
+++ b/modules/revision/tests/revision_tests.cc
@@ -5,10 +5,10 @@
 namespace dotterellug {
 namespace {
 
-const SectionKey kModels{"models"};
-const SectionKey kLimits{"limits"};
+const SectionName kModels{"models"};
+const SectionName kLimits{"limits"};
 
-auto Accept(const RevisionTexts&) -> Result<void> { return {}; }
+auto Accept(const SectionTexts&) -> Result<void> { return {}; }
 
 class RevisionTest : public testing::Test {
  protected:
@@ -16,7 +16,7 @@
     return ObjectStore(MemoryObjectStore(backend_));
   }
   auto MakeEdit(const std::string& id, const RevisionRef& base,
-                const SectionKey& section, const std::string& text) -> Edit {
+                const SectionName& section, const std::string& text) -> Edit {
     return Edit{EditId(id), base, "ann", "test", WallTime{}, {{section, text}}};
   }
   auto Commit(const Edit& edit) -> Committed {
@@ -27,7 +27,7 @@
     }
     return std::get<Committed>(*outcome);
   }
-  auto Texts() -> RevisionTexts {
+  auto Texts() -> SectionTexts {
     return repository_.Load(*repository_.ReadHead())->texts;
   }
   void AddFault(FaultKind fault, OperationKind operation,
@@ -49,7 +49,7 @@
   const auto base = Commit(MakeEdit("e1", {}, kModels, "m1")).revision;
   Commit(MakeEdit("e2", base, kModels, "m2"));
   Commit(MakeEdit("e3", base, kLimits, "l1"));
-  EXPECT_EQ(Texts(), (RevisionTexts{{kModels, "m2"}, {kLimits, "l1"}}));
+  EXPECT_EQ(Texts(), (SectionTexts{{kModels, "m2"}, {kLimits, "l1"}}));
 }
 
 // Guards against a silently lost edit of the same section.
@@ -70,7 +70,7 @@
 
 // Guards against two edits that are valid alone and invalid together.
 TEST_F(RevisionTest, MergedDocumentIsValidatedAgain) {
-  const auto at_most_one = [](const RevisionTexts& texts) -> Result<void> {
+  const auto at_most_one = [](const SectionTexts& texts) -> Result<void> {
     if (texts.size() <= 1) return {};
     return Fail(ErrorKind::kInvalidArgument, "two sections", "remove one");
   };
@@ -156,7 +156,7 @@
   ASSERT_TRUE(edit.has_value());
   EXPECT_EQ(edit->sections.size(), 1U);
   const auto rolled_back = Commit(*edit).revision;
-  EXPECT_EQ(Texts(), (RevisionTexts{{kModels, "m1"}, {kLimits, "l1"}}));
+  EXPECT_EQ(Texts(), (SectionTexts{{kModels, "m1"}, {kLimits, "l1"}}));
   Commit(MakeEdit("e4", rolled_back, kModels, "m3"));
   EXPECT_TRUE(Commit(*edit).recognised);
   EXPECT_EQ(Texts().at(kModels), "m3");
--- a/modules/revision/tests/schedule_tests.cc
+++ b/modules/revision/tests/schedule_tests.cc
@@ -76,7 +76,7 @@
   std::vector<FaultRule> faults;
 };
 
-auto Accept(const RevisionTexts&) -> Result<void> { return {}; }
+auto Accept(const SectionTexts&) -> Result<void> { return {}; }
 
 // An operator with a connection of its own.
 class Editor {
@@ -97,7 +97,7 @@
           std::to_string(index_) + "-" + std::to_string(attempted_.size());
       const Edit edit{EditId(id), *base,
                       "editor",   "",
-                      WallTime{}, {{SectionKey(std::to_string(section)), id}}};
+                      WallTime{}, {{SectionName(std::to_string(section)), id}}};
       attempted_.push_back({edit, repository_.Commit(edit, Accept)});
     }
   }
@@ -166,7 +166,7 @@
 }
 
 auto TextDigest(const Chain& chain, RevisionNumber number,
-                const SectionKey& section) -> ContentDigest {
+                const SectionName& section) -> ContentDigest {
   if (number == RevisionNumber(0)) return ContentDigest{};
   const auto& sections = chain[number.Value() - 1].sections;
   const auto found = sections.find(section);
