Rename types of the document module that revision also uses

Cause: The modules document and revision both declare SectionTexts and SectionName in the namespace dotterellug, so no file could include both.

Change: document's type is DocumentTexts and its function NameOf.

Conclusion: the client can include both modules.

--- a/client/commands/file_commands.cc
+++ b/client/commands/file_commands.cc
@@ -51,7 +51,7 @@
   }
   for (const auto section : kAllSections) {
     const auto& path = files->paths[static_cast<std::size_t>(section)];
-    invocation.err << SectionName(section) << ": "
+    invocation.err << NameOf(section) << ": "
                    << (path.empty() ? "no file, taken as empty" : path) << "\n";
   }
   const auto document = ParseDocument(files->texts);
@@ -145,14 +145,14 @@
                       const std::vector<Difference>& differences) {
   if (invocation.options.output == OutputFormat::kTable) {
     for (const auto& difference : differences) {
-      invocation.out << SectionName(difference.section) << " "
-                     << difference.Text() << "\n";
+      invocation.out << NameOf(difference.section) << " " << difference.Text()
+                     << "\n";
     }
     return;
   }
   OutputTable table{{"section", "kind", "path", "before", "after"}, {}};
   for (const auto& difference : differences) {
-    table.rows.push_back({std::string(SectionName(difference.section)),
+    table.rows.push_back({std::string(NameOf(difference.section)),
                           std::string(DifferenceKindName(difference.kind)),
                           difference.path, difference.before,
                           difference.after});
--- a/client/files/document_files.cc
+++ b/client/files/document_files.cc
@@ -10,7 +10,7 @@
 
 auto FileOf(const std::filesystem::path& folder, Section section)
     -> std::filesystem::path {
-  return folder / (std::string(SectionName(section)) + ".yaml");
+  return folder / (std::string(NameOf(section)) + ".yaml");
 }
 
 class FileCollector {
@@ -34,7 +34,7 @@
     auto& known = files_.paths[Index(*section)];
     if (!known.empty() && known != path) {
       return Fail(ErrorKind::kInvalidArgument,
-                  "two files for section " + std::string(SectionName(*section)),
+                  "two files for section " + std::string(NameOf(*section)),
                   "name one");
     }
     known = path;
--- a/client/files/document_files.h
+++ b/client/files/document_files.h
@@ -10,7 +10,7 @@
 
 // Section texts with the files they were read from.
 struct DocumentFiles {
-  SectionTexts texts;
+  DocumentTexts texts;
   // Path per section; empty when there is no such file.
   std::vector<std::string> paths;
 };
--- a/client/tests/file_commands_tests.cc
+++ b/client/tests/file_commands_tests.cc
@@ -135,7 +135,7 @@
   ASSERT_EQ(outcome.code, ExitCode::kDone) << outcome.err;
   const auto line_end = outcome.out.find('\n');
   const auto text = outcome.out.substr(5, line_end - 5);
-  SectionTexts texts;
+  DocumentTexts texts;
   texts.Set(Section::kAccounts,
             "accounts:\n- {id: storefront, tokens_per_second: 1, "
             "burst_tokens: 1}\n" +
--- a/modules/document/benchmarks/document_benchmark.cc
+++ b/modules/document/benchmarks/document_benchmark.cc
@@ -13,7 +13,7 @@
 namespace {
 
 auto MakeTexts(int engines, int models, int accounts,
-               const DigestKey& digest_key) -> SectionTexts {
+               const DigestKey& digest_key) -> DocumentTexts {
   ServingDocument document;
   for (int i = 0; i < 12; ++i) {
     const AvailabilityZoneId id("zone-" + std::to_string(i));
@@ -49,7 +49,7 @@
   return FormatDocument(document);
 }
 
-auto SecondsToParse(const SectionTexts& texts) -> double {
+auto SecondsToParse(const DocumentTexts& texts) -> double {
   const auto begin = MonotonicNow();
   constexpr int kRounds = 3;
   for (int i = 0; i < kRounds; ++i) {
@@ -78,8 +78,9 @@
   constexpr int kLookups = 100'000;
   int accepted = 0;
   const auto begin = MonotonicNow();
-  for (int i = 0; i < kLookups; ++i)
+  for (int i = 0; i < kLookups; ++i) {
     accepted += table.Lookup(issued.text) ? 1 : 0;
+  }
   const auto seconds = ToSeconds(MonotonicNow() - begin);
   if (accepted != kLookups) std::abort();
   std::printf("key check among %zu keys: %.2f microseconds\n",
--- a/modules/document/diff/document_diff.cc
+++ b/modules/document/diff/document_diff.cc
@@ -41,7 +41,7 @@
 auto ReadEntries(const ServingDocument& document, Section section) -> Entries {
   Entries entries;
   const auto root = ReadYaml(FormatSection(document, section),
-                             std::string(SectionName(section)), kSectionLimits);
+                             std::string(NameOf(section)), kSectionLimits);
   if (!root) return entries;
   for (const auto& [list, line, value] : root->entries) {
     if (value.kind != YamlKind::kList) {
--- a/modules/document/format/document_formatter.cc
+++ b/modules/document/format/document_formatter.cc
@@ -168,8 +168,8 @@
   return std::string(out.c_str()) + "\n";
 }
 
-auto FormatDocument(const ServingDocument& document) -> SectionTexts {
-  SectionTexts texts;
+auto FormatDocument(const ServingDocument& document) -> DocumentTexts {
+  DocumentTexts texts;
   for (const auto section : kAllSections) {
     texts.Set(section, FormatSection(document, section));
   }
--- a/modules/document/format/document_formatter.h
+++ b/modules/document/format/document_formatter.h
@@ -14,6 +14,6 @@
 auto FormatSection(const ServingDocument& document, Section section)
     -> std::string;
 
-auto FormatDocument(const ServingDocument& document) -> SectionTexts;
+auto FormatDocument(const ServingDocument& document) -> DocumentTexts;
 
 }  // namespace dotterellug
--- a/modules/document/sections/document_parser.cc
+++ b/modules/document/sections/document_parser.cc
@@ -20,7 +20,7 @@
 
   void ReadSection(Section section, const YamlNode& root) {
     section_ = section;
-    MapReader reader(root, std::string(SectionName(section)), "", faults_);
+    MapReader reader(root, std::string(NameOf(section)), "", faults_);
     switch (section) {
       case Section::kAccounts:
         ReadAccounts(reader);
@@ -56,7 +56,7 @@
     std::size_t index = 0;
     for (const auto& node : parent.List(list)) {
       const auto path = std::string(list) + "[" + std::to_string(index++) + "]";
-      MapReader reader(node, std::string(SectionName(section_)), path, faults_);
+      MapReader reader(node, std::string(NameOf(section_)), path, faults_);
       std::string id;
       const bool has_id = reader.Required(id_key, id_rule, id);
       Entry entry;
@@ -192,7 +192,7 @@
         route.idempotent_methods.push_back(std::move(*method));
       } else {
         Fault fault;
-        fault.source = SectionName(section_);
+        fault.source = NameOf(section_);
         fault.line = node.line;
         fault.path = reader.PathOf("idempotent_methods") + "[" +
                      std::to_string(index) + "]";
@@ -214,14 +214,14 @@
 
 }  // namespace
 
-auto ParseDocument(const SectionTexts& texts)
+auto ParseDocument(const DocumentTexts& texts)
     -> tl::expected<ServingDocument, FaultList> {
   FaultList faults;
   DocumentParser parser(faults);
   std::array<YamlNode, kAllSections.size()> trees;
   bool readable = true;
   for (const auto section : kAllSections) {
-    auto tree = ReadYaml(texts.Get(section), std::string(SectionName(section)),
+    auto tree = ReadYaml(texts.Get(section), std::string(NameOf(section)),
                          kSectionLimits);
     if (!tree) {
       faults.Append(tree.error());
--- a/modules/document/sections/document_parser.h
+++ b/modules/document/sections/document_parser.h
@@ -16,7 +16,7 @@
 // with section, line, value and remedy, in the order of the texts. Rules that
 // span sections are only checked when all entries have readable ids, because
 // otherwise they would report references to entries that are merely misspelt.
-auto ParseDocument(const SectionTexts& texts)
+auto ParseDocument(const DocumentTexts& texts)
     -> tl::expected<ServingDocument, FaultList>;
 
 }  // namespace dotterellug
--- a/modules/document/sections/section.cc
+++ b/modules/document/sections/section.cc
@@ -2,7 +2,7 @@
 
 namespace dotterellug {
 
-auto SectionName(Section section) -> std::string_view {
+auto NameOf(Section section) -> std::string_view {
   switch (section) {
     case Section::kAccounts:
       return "accounts";
@@ -20,7 +20,7 @@
 
 auto FindSection(std::string_view name) -> std::optional<Section> {
   for (const auto section : kAllSections) {
-    if (SectionName(section) == name) return section;
+    if (NameOf(section) == name) return section;
   }
   return std::nullopt;
 }
--- a/modules/document/sections/section.h
+++ b/modules/document/sections/section.h
@@ -15,11 +15,11 @@
     Section::kUpstreams};
 
 // The name in object names, file names and messages, such as "accounts".
-auto SectionName(Section section) -> std::string_view;
+auto NameOf(Section section) -> std::string_view;
 auto FindSection(std::string_view name) -> std::optional<Section>;
 
 // The YAML texts of all sections. An empty text is an empty section.
-class SectionTexts {
+class DocumentTexts {
  public:
   auto Get(Section section) const -> const std::string& {
     return texts_[static_cast<std::size_t>(section)];
@@ -28,7 +28,8 @@
     texts_[static_cast<std::size_t>(section)] = std::move(text);
   }
 
-  friend auto operator==(const SectionTexts& a, const SectionTexts& b) -> bool {
+  friend auto operator==(const DocumentTexts& a, const DocumentTexts& b)
+      -> bool {
     return a.texts_ == b.texts_;
   }
 
--- a/modules/document/tests/document_edit_tests.cc
+++ b/modules/document/tests/document_edit_tests.cc
@@ -8,7 +8,7 @@
 namespace {
 
 auto ZonesDocument(const std::string& zones) -> ServingDocument {
-  SectionTexts texts;
+  DocumentTexts texts;
   texts.Set(Section::kZones, zones);
   return ParseDocument(texts).value();
 }
--- a/modules/document/tests/document_fuzz_tests.cc
+++ b/modules/document/tests/document_fuzz_tests.cc
@@ -11,12 +11,11 @@
 namespace {
 
 // The examples are the corpus.
-auto ExampleTexts(const std::string& name) -> SectionTexts {
-  SectionTexts texts;
+auto ExampleTexts(const std::string& name) -> DocumentTexts {
+  DocumentTexts texts;
   for (const auto section : kAllSections) {
     std::ifstream file(std::string(DOTTERELLUG_SOURCE_DIR) + "/examples/" +
-                       name + "/" + std::string(SectionName(section)) +
-                       ".yaml");
+                       name + "/" + std::string(NameOf(section)) + ".yaml");
     texts.Set(section, {std::istreambuf_iterator<char>(file),
                         std::istreambuf_iterator<char>()});
   }
--- a/modules/document/tests/document_parser_tests.cc
+++ b/modules/document/tests/document_parser_tests.cc
@@ -16,8 +16,8 @@
 
 // A small valid document in the form that FormatDocument writes, in which every
 // key has a value other than its default.
-auto ValidTexts() -> SectionTexts {
-  SectionTexts texts;
+auto ValidTexts() -> DocumentTexts {
+  DocumentTexts texts;
   texts.Set(Section::kAccounts, std::string(R"(accounts:
   - id: shop
     tokens_per_second: 1000
@@ -120,7 +120,7 @@
 }
 
 TEST(DocumentParserTest, EmptyTextsGiveAnEmptyDocument) {
-  EXPECT_TRUE(ParseDocument(SectionTexts{}));
+  EXPECT_TRUE(ParseDocument(DocumentTexts{}));
 }
 
 // One edit that makes the valid document wrong, and the fault that names it.
@@ -154,7 +154,7 @@
   ASSERT_FALSE(document);
   ASSERT_EQ(document.error().Total(), 1U) << document.error().Text();
   const auto& fault = document.error().Listed().front();
-  EXPECT_EQ(fault.source, SectionName(expected.section));
+  EXPECT_EQ(fault.source, NameOf(expected.section));
   EXPECT_EQ(fault.line, expected.line) << fault.Text();
   EXPECT_EQ(fault.value, expected.value);
   EXPECT_NE(fault.message.find(expected.message), std::string::npos)
@@ -281,7 +281,7 @@
 // Guards against resource use beyond the stated bounds.
 TEST(DocumentParserTest, RejectsTextsBeyondTheBounds) {
   const auto first_message = [](std::string text) {
-    SectionTexts texts;
+    DocumentTexts texts;
     texts.Set(Section::kZones, std::move(text));
     const auto document = ParseDocument(texts);
     return document ? std::string() : document.error().Listed().front().message;
--- a/modules/document/tests/example_document_tests.cc
+++ b/modules/document/tests/example_document_tests.cc
@@ -36,9 +36,9 @@
   }
 
   auto Load() const -> ServingDocument {
-    SectionTexts texts;
+    DocumentTexts texts;
     for (const auto section : kAllSections) {
-      const auto name = std::string(SectionName(section)) + ".yaml";
+      const auto name = std::string(NameOf(section)) + ".yaml";
       texts.Set(section, ReadFile(Folder() + name));
     }
     auto document = ParseDocument(texts);
--- a/modules/document/validation/validate.cc
+++ b/modules/document/validation/validate.cc
@@ -50,7 +50,7 @@
               std::string_view field, std::string value, std::string message,
               std::string remedy) {
     Fault fault;
-    fault.source = SectionName(section);
+    fault.source = NameOf(section);
     fault.line = positions_.LineOf(list, id, field);
     fault.path = std::string(list) + "[" + id + "]." + std::string(field);
     fault.value = std::move(value);
@@ -152,7 +152,7 @@
     for (const auto engine_memory : engine_memory_) memory += engine_memory;
     if (LargestMemory() == Bytes(0) || kept <= memory) return;
     Fault fault;
-    fault.source = SectionName(Section::kModels);
+    fault.source = NameOf(Section::kModels);
     fault.path = "models";
     fault.value = FormatBytes(kept);
     fault.message =
@@ -203,7 +203,7 @@
     const auto& limits = document_.limits;
     if (limits.batch_max_age >= limits.default_deadline) return;
     Fault fault;
-    fault.source = SectionName(Section::kLimits);
+    fault.source = NameOf(Section::kLimits);
     fault.line = positions_.LineOf("limits", "", "batch_max_age");
     fault.path = "batch_max_age";
     fault.value = FormatDuration(limits.batch_max_age);
