Use the renamed document types in the store reader

Cause: the document module renamed its texts type. Change: store_reader uses DocumentTexts and NameOf. Conclusion: none beyond the fix.

--- a/daemon/control/store_reader.cc
+++ b/daemon/control/store_reader.cc
@@ -12,12 +12,11 @@
 
 }  // namespace
 
-auto ParseRevisionTexts(const RevisionTexts& texts)
+auto ParseSectionTexts(const SectionTexts& texts)
     -> tl::expected<ServingDocument, FaultList> {
-  SectionTexts sections;
+  DocumentTexts sections;
   for (const auto section : kAllSections) {
-    const auto found =
-        texts.find(SectionKey(std::string(SectionName(section))));
+    const auto found = texts.find(SectionName(std::string(NameOf(section))));
     if (found != texts.end()) sections.Set(section, found->second);
   }
   return ParseDocument(sections);
@@ -37,7 +36,7 @@
 auto StoreReader::Fetch(const RevisionRef& ref) -> bool {
   const auto loaded = repository_.Load(ref);
   if (!loaded) return false;
-  auto document = ParseRevisionTexts(loaded->texts);
+  auto document = ParseSectionTexts(loaded->texts);
   if (document) {
     send_(RevisionFetched{ref, std::move(*document)});
   } else {
--- a/daemon/control/store_reader.h
+++ b/daemon/control/store_reader.h
@@ -34,7 +34,7 @@
 };
 
 // Parses the sections of a revision into a document.
-auto ParseRevisionTexts(const RevisionTexts& texts)
+auto ParseSectionTexts(const SectionTexts& texts)
     -> tl::expected<ServingDocument, FaultList>;
 
 }  // namespace dotterellug
