Add requests between daemons

Cause: daemons need to call each other with outcomes that are true and with messages that cannot be forged or replayed.

--- /dev/null
+++ b/modules/peer/peer.h
@@ -0,0 +1,12 @@
+#pragma once
+
+// Messages between daemons, authenticated with the fleet key: requests by
+// JSON-RPC (libjsonrpccpp) over HTTP, datagrams with CBOR bodies over UDP, and
+// the codecs of the typed messages. Needs: core, ownership, libjsonrpccpp,
+// libcurl, libmicrohttpd, libsodium, nlohmann-json.
+
+#include "peer/auth/fleet_key.h"
+#include "peer/auth/freshness_guard.h"
+#include "peer/auth/refusal_counters.h"
+#include "peer/request/peer_request_client.h"
+#include "peer/request/peer_request_server.h"
