--- a/modules/peer/peer.h
+++ b/modules/peer/peer.h
@@ -8,5 +8,6 @@
 #include "peer/auth/fleet_key.h"
 #include "peer/auth/freshness_guard.h"
 #include "peer/auth/refusal_counters.h"
+#include "peer/datagram/datagram_endpoint.h"
 #include "peer/request/peer_request_client.h"
 #include "peer/request/peer_request_server.h"
