Add the budget module

Cause: limits on rates and on work in flight must hold over the whole fleet without a round trip per request, also during store outages. Change: adds local meters, the holder, the owner with share tables and pool, rebalancing by demand, token transfers and the wiring of one shard.

--- /dev/null
+++ b/modules/budget/benchmarks/budget_skew_benchmark.cc
@@ -0,0 +1,231 @@
+// Compares how much of a limit is left unused under skewed demand by fixed
+// shares, a central counter and moving shares with token transfers, in one
+// simulated run with the same requests. Prints CSV:
+// daemons,design,offered,admitted,refused_percent,messages_per_second.
+//
+// 70% of the demand arrives at one daemon, another one every 30 s; the total is
+// 90% of the rate, so what is refused is budget left unused. Messages take 1 ms
+// one way. A refused request is tried again twice, 3 ms apart.
+
+#include <cstdio>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "budget/budget.h"
+#include "core/random/random.h"
+#include "core/variant/overloaded.h"
+
+namespace dotterellug {
+namespace {
+
+const ShardId kShard("budget-0");
+const BudgetId kBudget("account-a");
+const RateLimit kLimit{Tokens(10'000), Tokens(20'000)};
+constexpr Duration kStep = std::chrono::milliseconds(1);
+constexpr int kWarmUpSteps = 10'000;
+constexpr int kSteps = 120'000;
+constexpr int kHotSpotSteps = 30'000;
+constexpr int kTries = 3;
+constexpr int kRetrySteps = 3;
+
+struct Request {
+  int daemon = 0;
+  std::int64_t tokens = 0;
+  int tries = 0;
+  int due_step = 0;
+};
+
+struct Tally {
+  std::int64_t offered = 0;
+  std::int64_t admitted = 0;
+  std::int64_t messages = 0;
+};
+
+// One bucket per daemon with an equal share that never moves.
+class FixedShares {
+ public:
+  explicit FixedShares(int daemons) {
+    for (int i = 0; i < daemons; ++i) {
+      buckets_.emplace_back(kLimit, Timestamp{});
+      buckets_.back().ChangeShare(PartsPerMillion(kWhole.Value() / daemons),
+                                  MicroTokens(0), Timestamp{});
+    }
+  }
+  auto Admit(const Request& request, Timestamp now) -> bool {
+    return buckets_[request.daemon]
+        .TryCharge(Tokens(request.tokens), now)
+        .has_value();
+  }
+  auto Step(int step, Timestamp now) -> void {}
+  auto Messages() const -> std::int64_t { return 0; }
+
+ private:
+  std::vector<TokenBucket> buckets_;
+};
+
+// One bucket for the fleet; each decision is a request and a response. The
+// round trip adds latency to each admission, which is not modelled.
+class CentralCounter {
+ public:
+  explicit CentralCounter(int daemons) : bucket_(kLimit, Timestamp{}) {
+    bucket_.ChangeShare(kWhole, MicroTokens(0), Timestamp{});
+  }
+  auto Admit(const Request& request, Timestamp now) -> bool {
+    messages_ += 2;
+    return bucket_.TryCharge(Tokens(request.tokens), now).has_value();
+  }
+  auto Step(int step, Timestamp now) -> void {}
+  auto Messages() const -> std::int64_t { return messages_; }
+
+ private:
+  TokenBucket bucket_;
+  std::int64_t messages_ = 0;
+};
+
+// The budget module with a store that responds at once and a network that
+// delivers after one step.
+class MovingShares {
+ public:
+  explicit MovingShares(int daemons) {
+    for (int i = 0; i < daemons; ++i) {
+      shards_.push_back(std::make_unique<BudgetShard>(kShard, Self(i)));
+      shards_.back()->SetLimits({RevisionNumber(1), {{kBudget, kLimit}}},
+                                Timestamp{});
+    }
+    for (int i = 0; i < daemons; ++i) {
+      CarryOut(i, shards_[i]->Tick(Timestamp{}), Timestamp{});
+    }
+    // Reads the registrations of the others first.
+    CarryOut(0, shards_[0]->Tick(Timestamp{}), Timestamp{});
+    CarryOut(0, shards_[0]->TakeOver(Timestamp{}), Timestamp{});
+  }
+  auto Admit(const Request& request, Timestamp now) -> bool {
+    auto& shard = *shards_[request.daemon];
+    if (shard.Holder().TryCharge(kBudget, Tokens(request.tokens), now)) {
+      return true;
+    }
+    CarryOut(request.daemon,
+             shard.RequestTokens(kBudget, Tokens(request.tokens), now), now);
+    return false;
+  }
+  auto Step(int step, Timestamp now) -> void {
+    auto due = std::exchange(in_flight_, {});
+    for (const auto& send : due) {
+      const auto to = std::stoi(send.to.instance.Value());
+      CarryOut(to, shards_[to]->OnMessage(send.message, now), now);
+    }
+    // The ticks of the daemons are spread over their period of 500 ms.
+    for (std::size_t i = 0; i < shards_.size(); ++i) {
+      if ((step + static_cast<int>(i) * 7) % 500 != 0) continue;
+      CarryOut(static_cast<int>(i), shards_[i]->Tick(now), now);
+    }
+  }
+  auto Messages() const -> std::int64_t { return messages_; }
+
+ private:
+  static auto Self(int index) -> MemberId {
+    return {InstanceId(std::to_string(index)), Incarnation(1)};
+  }
+  auto CarryOut(int daemon, const BudgetActions& actions, Timestamp now)
+      -> void {
+    for (const auto& action : actions) {
+      std::visit(
+          Overloaded{
+              [&](const ReadObject&) {
+                CarryOut(daemon, shards_[daemon]->OnRead(object_, now), now);
+              },
+              [&](const WriteObject& write) { Write(daemon, write, now); },
+              [&](const SendBudgetMessage& send) {
+                ++messages_;
+                in_flight_.push_back(send);
+              }},
+          action);
+    }
+  }
+  auto Write(int daemon, const WriteObject& write, Timestamp now) -> void {
+    auto outcome = WriteOutcome::kConflict;
+    if (write.expected == object_.version) {
+      object_ = {write.name, object_.version.Next(), write.value};
+      outcome = WriteOutcome::kDone;
+    }
+    CarryOut(daemon, shards_[daemon]->OnWrite(outcome, now), now);
+  }
+
+  std::vector<std::unique_ptr<BudgetShard>> shards_;
+  ObjectRecord object_{OwnerObjectName(kShard), kAbsent, ""};
+  std::deque<SendBudgetMessage> in_flight_;
+  std::int64_t messages_ = 0;
+};
+
+auto NewRequests(int daemons, int step, Random* random)
+    -> std::vector<Request> {
+  std::vector<Request> requests;
+  // 90 requests/s of 100 tokens on average are 90% of the rate.
+  if (random->Uniform() >= 0.09) return requests;
+  const int hot = step / kHotSpotSteps % daemons;
+  const bool at_hot = random->Uniform() < 0.7;
+  const int daemon = at_hot ? hot
+                            : static_cast<int>(random->Below(
+                                  static_cast<std::uint64_t>(daemons)));
+  requests.push_back(
+      {daemon, static_cast<std::int64_t>(50 + random->Below(101)), 0, step});
+  return requests;
+}
+
+template <typename Design>
+auto Run(int daemons, const char* name) -> void {
+  Design design(daemons);
+  Random random(7);
+  Tally tally;
+  std::deque<Request> waiting;
+  std::int64_t messages_before = 0;
+  for (int step = 1; step <= kWarmUpSteps + kSteps; ++step) {
+    const auto now = Timestamp(step * kStep);
+    const bool counted = step > kWarmUpSteps;
+    if (step == kWarmUpSteps) messages_before = design.Messages();
+    design.Step(step, now);
+    for (const auto& request : NewRequests(daemons, step, &random)) {
+      if (counted) tally.offered += request.tokens;
+      waiting.push_back(request);
+    }
+    const auto due_count = waiting.size();
+    for (std::size_t i = 0; i < due_count; ++i) {
+      auto request = waiting.front();
+      waiting.pop_front();
+      if (request.due_step > step) {
+        waiting.push_back(request);
+        continue;
+      }
+      if (design.Admit(request, now)) {
+        if (counted) tally.admitted += request.tokens;
+      } else if (++request.tries < kTries) {
+        request.due_step = step + kRetrySteps;
+        waiting.push_back(request);
+      }
+    }
+  }
+  const auto seconds = ToSeconds(kSteps * kStep);
+  std::printf(
+      "%d,%s,%lld,%lld,%.2f,%.1f\n", daemons, name,
+      static_cast<long long>(tally.offered),
+      static_cast<long long>(tally.admitted),
+      100.0 * static_cast<double>(tally.offered - tally.admitted) /
+          static_cast<double>(tally.offered),
+      static_cast<double>(design.Messages() - messages_before) / seconds);
+}
+
+}  // namespace
+}  // namespace dotterellug
+
+auto main() -> int {
+  std::printf(
+      "daemons,design,offered,admitted,refused_percent,messages_per_second\n");
+  for (const int daemons : {9, 100}) {
+    dotterellug::Run<dotterellug::FixedShares>(daemons, "fixed_shares");
+    dotterellug::Run<dotterellug::MovingShares>(daemons, "moving_shares");
+    dotterellug::Run<dotterellug::CentralCounter>(daemons, "central_counter");
+  }
+  return 0;
+}
--- /dev/null
+++ b/modules/budget/holder/budget_holder.cc
@@ -0,0 +1,171 @@
+#include "budget/holder/budget_holder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterellug {
+namespace {
+
+// Bounds of the two lists of transfers. Forgetting an old entry loses tokens at
+// worst: a forgotten request ignores its grant, and a forgotten grant is
+// deducted again and then ignored by the requester.
+constexpr std::size_t kMaxPendingTransfers = 256;
+constexpr std::size_t kMaxRememberedGrants = 256;
+
+// Time from request to grant that is assumed before the first grant; between
+// two zones it is 2 to 4 ms.
+constexpr Duration kFirstTransferTime = std::chrono::milliseconds(4);
+
+}  // namespace
+
+BudgetHolder::BudgetHolder(ShardId shard, MemberId self)
+    : shard_(std::move(shard)),
+      self_(std::move(self)),
+      transfer_time_(kFirstTransferTime) {}
+
+auto BudgetHolder::TryCharge(const BudgetId& budget, Tokens amount,
+                             Timestamp now) -> std::optional<Charge> {
+  const auto found = held_.find(budget);
+  if (found == held_.end()) return std::nullopt;
+  auto& held = found->second;
+  const auto charge = held.meter.TryCharge(amount, now);
+  (charge ? held.admitted : held.refused) += amount;
+  held.largest = std::max(held.largest, amount);
+  return charge;
+}
+
+auto BudgetHolder::Settle(const BudgetId& budget, const Charge& charge,
+                          Tokens used, Timestamp now) -> void {
+  const auto found = held_.find(budget);
+  if (found == held_.end()) return;
+  found->second.meter.Settle(charge, used, now);
+}
+
+auto BudgetHolder::SetLimits(const BudgetLimits& limits, Timestamp now)
+    -> void {
+  if (limits.revision <= revision_) return;
+  revision_ = limits.revision;
+  for (const auto& entry : limits.entries) {
+    FindOrAdd(entry.budget, now).meter.ChangeLimit(entry.limit, now);
+  }
+}
+
+auto BudgetHolder::Acknowledge(Term term) -> std::optional<HoldingsReport> {
+  const bool is_new = term > fence_.Acknowledged();
+  if (!fence_.Acknowledge(term)) return std::nullopt;
+  HoldingsReport report{shard_, term, self_, {}};
+  for (auto& [budget, held] : held_) {
+    if (is_new) {
+      held.sequence = 0;
+      held.meter.CancelDecrease();
+    }
+    report.holdings.push_back({budget, held.meter.Share()});
+  }
+  return report;
+}
+
+auto BudgetHolder::OnChangeShare(const ChangeShare& change, Timestamp now)
+    -> std::optional<ShareChanged> {
+  if (!fence_.Obeys(change.term)) {
+    ++fenced_commands_;
+    return std::nullopt;
+  }
+  auto& held = FindOrAdd(change.budget, now);
+  if (change.sequence < held.sequence) return std::nullopt;
+  if (change.sequence > held.sequence) {
+    const auto released =
+        held.meter.ChangeShare(change.share, change.tokens, now);
+    if (!released) return std::nullopt;
+    held.sequence = change.sequence;
+    held.released = *released;
+  }
+  return ShareChanged{shard_,        change.term,   self_,
+                      change.budget, held.sequence, held.released};
+}
+
+auto BudgetHolder::ReportDemand() -> DemandReport {
+  DemandReport report{shard_, self_, ++demand_sequence_, {}};
+  for (auto& [budget, held] : held_) {
+    report.totals.push_back(
+        {budget, held.admitted, held.refused, held.largest});
+    // Forgets a large request within some tens of reports.
+    held.largest = Tokens(held.largest.Value() * 15 / 16);
+  }
+  return report;
+}
+
+auto BudgetHolder::RequestTokens(const BudgetId& budget, Tokens amount,
+                                 Timestamp now) -> TransferRequest {
+  const TransferId id{self_, ++transfer_sequence_};
+  pending_transfers_.push_back({id, now});
+  if (pending_transfers_.size() > kMaxPendingTransfers) {
+    pending_transfers_.pop_front();
+  }
+  const auto found = held_.find(budget);
+  if (found == held_.end()) return {shard_, id, budget, Tokens(0)};
+  auto& meter = found->second.meter;
+  const auto missing = std::max(amount - meter.Available(now), Tokens(1));
+  return {shard_, id, budget, missing + meter.DecayDuring(2 * transfer_time_)};
+}
+
+auto BudgetHolder::OnTransferRequest(const TransferRequest& request,
+                                     Timestamp now) -> TransferGrant {
+  for (const auto& given : given_) {
+    if (given.id == request.id) return given;
+  }
+  TransferGrant grant{shard_, request.id, request.budget, Tokens(0)};
+  const auto found = held_.find(request.budget);
+  if (found != held_.end()) {
+    auto& meter = found->second.meter;
+    const bool has_enough =
+        request.amount.Value() <= meter.Available(now).Value() / 2;
+    if (has_enough) grant.amount = meter.Give(request.amount, now);
+  }
+  given_.push_back(grant);
+  if (given_.size() > kMaxRememberedGrants) given_.pop_front();
+  return grant;
+}
+
+auto BudgetHolder::OnTransferGrant(const TransferGrant& grant, Timestamp now)
+    -> void {
+  const auto pending =
+      std::find_if(pending_transfers_.begin(), pending_transfers_.end(),
+                   [&grant](const PendingTransfer& transfer) {
+                     return transfer.id == grant.id;
+                   });
+  if (pending == pending_transfers_.end()) return;
+  const auto requested_at = pending->requested_at;
+  transfer_time_ +=
+      (std::min(now - requested_at, kMaxTransferAge) - transfer_time_) / 8;
+  pending_transfers_.erase(pending);
+  const auto found = held_.find(grant.budget);
+  if (found == held_.end()) return;
+  found->second.meter.Receive(grant.amount, requested_at, now);
+}
+
+auto BudgetHolder::Share(const BudgetId& budget) const -> PartsPerMillion {
+  const auto found = held_.find(budget);
+  return found == held_.end() ? PartsPerMillion(0)
+                              : found->second.meter.Share();
+}
+
+auto BudgetHolder::Available(const BudgetId& budget, Timestamp now) -> Tokens {
+  const auto found = held_.find(budget);
+  return found == held_.end() ? Tokens(0) : found->second.meter.Available(now);
+}
+
+auto BudgetHolder::LastSequence(const BudgetId& budget) const -> std::int64_t {
+  const auto found = held_.find(budget);
+  return found == held_.end() ? 0 : found->second.sequence;
+}
+
+auto BudgetHolder::FindOrAdd(const BudgetId& budget, Timestamp now)
+    -> HeldBudget& {
+  const auto found = held_.find(budget);
+  if (found != held_.end()) return found->second;
+  // The limit comes with the revision; until then nothing is admitted.
+  return held_.emplace(budget, HeldBudget(LocalMeter(RateLimit{}, now)))
+      .first->second;
+}
+
+}  // namespace dotterellug
--- /dev/null
+++ b/modules/budget/meter/local_meter.cc
@@ -0,0 +1,119 @@
+#include "budget/meter/local_meter.h"
+
+#include "core/variant/overloaded.h"
+
+namespace dotterellug {
+namespace {
+
+using MeterVariant = std::variant<TokenBucket, ConcurrencyLimit>;
+
+// Shares of a rate move in steps of at least this.
+constexpr PartsPerMillion kRateShareStep{100};
+
+auto MakeMeter(const BudgetLimit& limit, Timestamp now) -> MeterVariant {
+  return std::visit(Overloaded{[now](const RateLimit& rate) -> MeterVariant {
+                                 return TokenBucket(rate, now);
+                               },
+                               [](const ConcurrencyCap& cap) -> MeterVariant {
+                                 return ConcurrencyLimit(cap);
+                               }},
+                    limit);
+}
+
+}  // namespace
+
+LocalMeter::LocalMeter(const BudgetLimit& limit, Timestamp now)
+    : meter_(MakeMeter(limit, now)) {}
+
+auto LocalMeter::TryCharge(Tokens amount, Timestamp now)
+    -> std::optional<Charge> {
+  if (auto* bucket = std::get_if<TokenBucket>(&meter_)) {
+    return bucket->TryCharge(amount, now);
+  }
+  return std::get<ConcurrencyLimit>(meter_).TryAcquire(amount.Value());
+}
+
+auto LocalMeter::Settle(const Charge& charge, Tokens used, Timestamp now)
+    -> void {
+  std::visit(
+      Overloaded{[&](TokenBucket& bucket) { bucket.Settle(charge, used, now); },
+                 [&](ConcurrencyLimit& limit) { limit.Release(charge); }},
+      meter_);
+}
+
+auto LocalMeter::ChangeShare(PartsPerMillion share, MicroTokens brought,
+                             Timestamp now) -> std::optional<MicroTokens> {
+  using Released = std::optional<MicroTokens>;
+  return std::visit(Overloaded{[&](TokenBucket& bucket) -> Released {
+                                 return bucket.ChangeShare(share, brought, now);
+                               },
+                               [&](ConcurrencyLimit& limit) -> Released {
+                                 if (!limit.ChangeShare(share)) {
+                                   return std::nullopt;
+                                 }
+                                 return MicroTokens(0);
+                               }},
+                    meter_);
+}
+
+auto LocalMeter::CancelDecrease() -> void {
+  if (auto* limit = std::get_if<ConcurrencyLimit>(&meter_)) {
+    limit->CancelDecrease();
+  }
+}
+
+auto LocalMeter::ChangeLimit(const BudgetLimit& limit, Timestamp now) -> void {
+  if (auto* bucket = std::get_if<TokenBucket>(&meter_)) {
+    if (const auto* rate = std::get_if<RateLimit>(&limit)) {
+      bucket->ChangeLimit(*rate, now);
+      return;
+    }
+  }
+  if (auto* concurrency = std::get_if<ConcurrencyLimit>(&meter_)) {
+    if (const auto* cap = std::get_if<ConcurrencyCap>(&limit)) {
+      concurrency->ChangeLimit(*cap);
+      return;
+    }
+  }
+  const auto share = Share();
+  meter_ = MakeMeter(limit, now);
+  ChangeShare(share, MicroTokens(0), now);
+}
+
+auto LocalMeter::Give(Tokens amount, Timestamp now) -> Tokens {
+  if (auto* bucket = std::get_if<TokenBucket>(&meter_)) {
+    return bucket->Give(amount, now);
+  }
+  return Tokens(0);
+}
+
+auto LocalMeter::DecayDuring(Duration duration) const -> Tokens {
+  const auto* bucket = std::get_if<TokenBucket>(&meter_);
+  return bucket == nullptr ? Tokens(0) : bucket->DecayDuring(duration);
+}
+
+auto LocalMeter::Receive(Tokens amount, Timestamp requested_at, Timestamp now)
+    -> void {
+  if (auto* bucket = std::get_if<TokenBucket>(&meter_)) {
+    bucket->Receive(amount, requested_at, now);
+  }
+}
+
+auto LocalMeter::Share() const -> PartsPerMillion {
+  return std::visit([](const auto& meter) { return meter.Share(); }, meter_);
+}
+
+auto LocalMeter::ShareStep() const -> PartsPerMillion {
+  const auto* limit = std::get_if<ConcurrencyLimit>(&meter_);
+  return limit == nullptr ? kRateShareStep : limit->SharePerPermit();
+}
+
+auto LocalMeter::Available(Timestamp now) -> Tokens {
+  if (auto* bucket = std::get_if<TokenBucket>(&meter_)) {
+    return Tokens(bucket->Available(now).Value() / kMicroTokensPerToken);
+  }
+  const auto& limit = std::get<ConcurrencyLimit>(meter_);
+  return Tokens(limit.Permits() - limit.InUse());
+}
+
+}  // namespace dotterellug
--- /dev/null
+++ b/modules/budget/owner/budget_owner.cc
@@ -0,0 +1,122 @@
+#include "budget/owner/budget_owner.h"
+
+#include <utility>
+
+namespace dotterellug {
+namespace {
+
+// Forgetting an old grant costs tokens at worst; see BudgetHolder.
+constexpr std::size_t kMaxRememberedGrants = 1024;
+
+}  // namespace
+
+BudgetOwner::BudgetOwner(ShardId shard, Term term, MemberId self,
+                         GoneMembers gone, RebalancePolicy policy)
+    : shard_(std::move(shard)),
+      term_(term),
+      self_(std::move(self)),
+      policy_(policy),
+      gone_(std::move(gone)) {}
+
+auto BudgetOwner::SetLimits(const BudgetLimits& limits, Timestamp now) -> void {
+  if (limits.revision <= revision_) return;
+  revision_ = limits.revision;
+  for (const auto& entry : limits.entries) {
+    TableOf(entry.budget, now).ChangeLimit(entry.limit, now);
+  }
+}
+
+auto BudgetOwner::OnReport(const HoldingsReport& report, Timestamp now)
+    -> void {
+  if (report.term != term_ || gone_.Contains(report.member)) return;
+  if (!reported_.insert(report.member).second) return;
+  for (const auto& holding : report.holdings) {
+    TableOf(holding.budget, now).AddHolder(report.member, holding.share, now);
+  }
+  for (auto& [budget, table] : tables_) {
+    table.AddHolder(report.member, PartsPerMillion(0), now);
+  }
+}
+
+auto BudgetOwner::OnBarrierCompleted(Timestamp now) -> void {
+  pool_open_ = true;
+  for (auto& [budget, table] : tables_) table.OpenPool(now);
+}
+
+auto BudgetOwner::OnShareChanged(const ShareChanged& changed, Timestamp now)
+    -> void {
+  if (changed.term != term_) return;
+  TableOf(changed.budget, now)
+      .OnChanged(changed.member, changed.sequence, changed.released, now);
+}
+
+auto BudgetOwner::OnDemand(const DemandReport& report) -> BudgetActions {
+  if (reported_.count(report.member) == 0) {
+    if (gone_.Contains(report.member)) return {};
+    return {SendBudgetMessage{report.member,
+                              TermAnnouncement{shard_, term_, self_}}};
+  }
+  auto& sequence = demand_sequences_[report.member];
+  if (report.sequence <= sequence) return {};
+  sequence = report.sequence;
+  for (const auto& total : report.totals) {
+    const auto found = tables_.find(total.budget);
+    if (found != tables_.end()) found->second.OnDemand(report.member, total);
+  }
+  return {};
+}
+
+auto BudgetOwner::OnGone(const MemberId& member, Timestamp now) -> void {
+  gone_.Add(member);
+  demand_sequences_.erase(member);
+  for (auto& [budget, table] : tables_) table.RemoveHolder(member, now);
+}
+
+auto BudgetOwner::OnTransferRequest(const TransferRequest& request,
+                                    Timestamp now) -> TransferGrant {
+  for (const auto& given : given_) {
+    if (given.id == request.id) return given;
+  }
+  TransferGrant grant{shard_, request.id, request.budget, Tokens(0)};
+  const auto found = tables_.find(request.budget);
+  if (found != tables_.end()) {
+    grant.amount = found->second.Give(request.amount, now);
+  }
+  given_.push_back(grant);
+  if (given_.size() > kMaxRememberedGrants) given_.pop_front();
+  return grant;
+}
+
+auto BudgetOwner::Tick(Timestamp now) -> BudgetActions {
+  BudgetActions actions;
+  for (auto& [budget, table] : tables_) {
+    for (const auto& change : table.Rebalance(policy_, now)) {
+      actions.push_back(SendBudgetMessage{
+          change.member, ChangeShare{shard_, term_, budget, change.sequence,
+                                     change.share, change.tokens}});
+    }
+  }
+  return actions;
+}
+
+auto BudgetOwner::Table(const BudgetId& budget) const -> const ShareTable* {
+  const auto found = tables_.find(budget);
+  return found == tables_.end() ? nullptr : &found->second;
+}
+
+auto BudgetOwner::TableOf(const BudgetId& budget, Timestamp now)
+    -> ShareTable& {
+  const auto found = tables_.find(budget);
+  if (found != tables_.end()) return found->second;
+  auto& table =
+      tables_.emplace(budget, ShareTable(RateLimit{}, now)).first->second;
+  for (const auto& member : reported_) {
+    if (!gone_.Contains(member)) {
+      table.AddHolder(member, PartsPerMillion(0), now);
+    }
+  }
+  if (pool_open_) table.OpenPool(now);
+  return table;
+}
+
+}  // namespace dotterellug
--- /dev/null
+++ b/modules/budget/tests/budget_fleet.h
@@ -0,0 +1,367 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "budget/budget.h"
+#include "core/variant/overloaded.h"
+#include "ownership/tests/simulation.h"
+
+namespace dotterellug::testing {
+
+// Parts of the protocol that a variant of the fleet leaves out.
+struct BudgetFleetVariant {
+  bool barrier = true;
+  bool term_check = true;
+  bool decrease_acknowledged = true;
+  bool registered_first = true;
+  bool transfer_once = true;
+  bool transfer_ages = true;
+  bool conditional_writes = true;
+  // Not a guard: lets revisions with a lower and a higher limit alternate.
+  bool limits_change = false;
+};
+
+// A fleet of budget shards over a faulty network and store, in simulated time.
+// Guards are left out by forging messages between the processes, so the code
+// under test has no switches.
+class BudgetFleet {
+ public:
+  BudgetFleet(std::uint64_t seed, BudgetLimit limit, BudgetFleetVariant variant)
+      : random_(seed),
+        network_(&random_, 8, 8),
+        store_(&network_, &random_),
+        variant_(variant),
+        limit_(limit) {
+    store_.checks_versions = variant.conditional_writes;
+    for (int i = 0; i < kProcesses; ++i) Start(i);
+  }
+
+  auto Run(int steps) -> void {
+    for (int step = 0; step < steps; ++step) {
+      now_ += Duration(random_.Below(60'000));
+      RandomFault();
+      RandomWork();
+      Deliver();
+    }
+  }
+
+  // Largest excess over what the limit allows, in tokens or permits; not
+  // positive while the limit holds. For a rate, the excess of any window equals
+  // that of a reference bucket over all admissions at their used amounts.
+  auto Excess() const -> double {
+    if (!std::holds_alternative<RateLimit>(limit_)) return concurrency_excess_;
+    const auto& rate = std::get<RateLimit>(limit_);
+    double level = 0;
+    double excess = -1;
+    Timestamp last{};
+    for (const auto& spent : spent_) {
+      const auto drained = ToSeconds(spent.at - last) *
+                           static_cast<double>(rate.per_second.Value());
+      last = spent.at;
+      level = std::max(0.0, level - drained) + static_cast<double>(spent.used);
+      excess = std::max(excess,
+                        level - static_cast<double>(rate.burst.Value()) - 1e-6);
+    }
+    return excess;
+  }
+  auto Spent() const -> std::int64_t {
+    std::int64_t sum = 0;
+    for (const auto& spent : spent_) sum += spent.used;
+    return sum;
+  }
+  auto Takeovers() const -> int { return takeovers_; }
+
+ private:
+  static constexpr int kProcesses = 4;
+  const ShardId shard_{"budget-0"};
+  const BudgetId budget_{"account-a"};
+
+  struct OpenCharge {
+    Charge charge;
+    std::size_t spent_index = 0;
+  };
+  struct Process {
+    MemberId self;
+    bool paused = false;
+    bool dead = false;
+    Duration clock_offset{};
+    std::shared_ptr<BudgetShard> shard;
+    std::vector<OpenCharge> open;
+  };
+  struct Spending {
+    Timestamp at;
+    std::int64_t used = 0;
+  };
+
+  auto Clock(const Process& process) const -> Timestamp {
+    return now_ + process.clock_offset;
+  }
+  auto Start(int index) -> void {
+    auto& process = processes_[index];
+    const auto old = process.self;
+    const bool restarted = process.shard != nullptr;
+    process =
+        Process{{InstanceId(std::to_string(index)), old.incarnation.Next()},
+                false,
+                false,
+                Duration(random_.Below(1'000'000'000)),
+                nullptr,
+                {}};
+    process.shard = std::make_shared<BudgetShard>(shard_, process.self);
+    process.shard->SetLimits(CurrentLimits(), Clock(process));
+    if (restarted) ConfirmGone(old);
+  }
+  // The news reaches each process at another time, but is not lost.
+  auto ConfirmGone(const MemberId& member) -> void {
+    for (auto& [index, process] : processes_) {
+      DeliverGone(process.self, member, 0);
+    }
+  }
+  auto DeliverGone(const MemberId& to, const MemberId& gone, int attempt)
+      -> void {
+    auto& process = ProcessOf(to);
+    if (process.self != to || process.dead) return;
+    if (process.paused || random_.Below(3) != 0) {
+      network_.Send(
+          [this, to, gone, attempt] { DeliverGone(to, gone, attempt + 1); });
+      return;
+    }
+    CarryOut(to, process.shard->OnGone(gone, Clock(process)));
+  }
+  auto CurrentLimits() const -> BudgetLimits {
+    auto limit = limit_;
+    if (revision_.Value() % 2 == 0) {
+      std::visit(Overloaded{[](RateLimit& rate) {
+                              rate.per_second = Tokens(40);
+                              rate.burst = Tokens(120);
+                            },
+                            [](ConcurrencyCap& cap) { cap.permits /= 2; }},
+                 limit);
+    }
+    return {revision_, {{budget_, limit}}};
+  }
+  auto ProcessOf(const MemberId& member) -> Process& {
+    return processes_[std::stoi(member.instance.Value())];
+  }
+  auto RandomFault() -> void {
+    auto& process = processes_[static_cast<int>(random_.Below(kProcesses))];
+    const auto index = std::stoi(process.self.instance.Value());
+    const auto fault = random_.Below(120);
+    if (fault == 0) process.dead = true;
+    if (fault == 1 || (fault < 12 && process.dead)) Start(index);
+    if (fault == 2) process.paused = true;
+    if (fault >= 60 && fault < 70) process.paused = false;
+    if (fault == 3) store_.available = false;
+    if (fault >= 70 && fault < 80) store_.available = true;
+    // Idle phases let the buckets fill, so that an excess share shows.
+    if (fault == 5) spending_ = false;
+    if (fault >= 80 && fault < 84) spending_ = true;
+    // A lower and a higher limit alternate; each process sees a revision late.
+    if (fault == 6 && variant_.limits_change) revision_ = revision_.Next();
+    if (fault == 4) now_ += std::chrono::seconds(5);
+  }
+  auto RandomWork() -> void {
+    auto& process = processes_[static_cast<int>(random_.Below(kProcesses))];
+    if (process.dead || process.paused) return;
+    const auto self = process.self;
+    auto& shard = *process.shard;
+    const auto now = Clock(process);
+    if (random_.Below(10) == 0) shard.SetLimits(CurrentLimits(), now);
+    switch (random_.Below(12)) {
+      case 0:
+      case 1:
+      case 2:
+        CarryOut(self, shard.Tick(now));
+        break;
+      case 3:
+        if (random_.Below(8) == 0) CarryOut(self, shard.TakeOver(now));
+        break;
+      case 4:
+        CarryOut(self, shard.RequestTokens(budget_, RandomAmount(), now));
+        break;
+      case 5:
+        CarryOut(self, shard.RequestTokensFrom(
+                           processes_[static_cast<int>(random_.Below(4))].self,
+                           budget_, RandomAmount(), now));
+        break;
+      case 6:
+        Settle(&process);
+        break;
+      default:
+        Spend(&process);
+    }
+  }
+  // Idle phases deliver little, so that messages arrive after buckets refilled.
+  auto Deliver() -> void {
+    const auto deliveries = spending_ ? 3U : random_.Below(5) / 4;
+    for (std::uint64_t i = 0; i < deliveries; ++i) network_.Step();
+  }
+  auto RandomAmount() -> Tokens {
+    return Tokens(static_cast<std::int64_t>(1 + random_.Below(60)));
+  }
+  auto Spend(Process* process) -> void {
+    if (!spending_) return;
+    const bool rate = std::holds_alternative<RateLimit>(limit_);
+    auto& holder = process->shard->Holder();
+    for (int i = 0; i < 4; ++i) {
+      const auto amount = rate ? RandomAmount() : Tokens(1);
+      const auto charge = holder.TryCharge(budget_, amount, Clock(*process));
+      if (!charge) continue;
+      process->open.push_back({*charge, spent_.size()});
+      spent_.push_back({now_, amount.Value()});
+    }
+    CountInUse();
+  }
+  auto Settle(Process* process) -> void {
+    if (process->open.empty()) return;
+    const auto index = random_.Below(process->open.size());
+    const auto open = process->open[index];
+    process->open.erase(process->open.begin() +
+                        static_cast<std::ptrdiff_t>(index));
+    auto& spent = spent_[open.spent_index];
+    spent.used = static_cast<std::int64_t>(
+        random_.Below(static_cast<std::uint64_t>(spent.used) + 1));
+    process->shard->Holder().Settle(budget_, open.charge, Tokens(spent.used),
+                                    Clock(*process));
+  }
+  auto CountInUse() -> void {
+    const auto* cap = std::get_if<ConcurrencyCap>(&limit_);
+    if (cap == nullptr) return;
+    std::int64_t in_use = 0;
+    for (const auto& [index, process] : processes_) {
+      in_use += static_cast<std::int64_t>(process.open.size());
+    }
+    concurrency_excess_ = std::max(concurrency_excess_,
+                                   static_cast<double>(in_use - cap->permits));
+  }
+
+  auto CarryOut(const MemberId& self, const BudgetActions& actions) -> void {
+    for (const auto& action : actions) {
+      std::visit(
+          Overloaded{[&](const ReadObject& read) {
+                       store_.Read(
+                           read.name, [this, self](const ObjectRecord& object) {
+                             Deliver(self, [this, object](Process& process) {
+                               return OnRead(&process, object);
+                             });
+                           });
+                     },
+                     [&](const WriteObject& write) {
+                       if (RegistrationIsLate(self)) return;
+                       store_.Write(write, [this, self](WriteOutcome outcome) {
+                         Deliver(self, [this, outcome](Process& process) {
+                           return process.shard->OnWrite(outcome,
+                                                         Clock(process));
+                         });
+                       });
+                     },
+                     [&](const SendBudgetMessage& send) { Send(self, send); }},
+          action);
+    }
+  }
+  // Loses most registrations, so that holding without one lasts longer.
+  auto RegistrationIsLate(const MemberId& self) -> bool {
+    return !variant_.registered_first &&
+           !ProcessOf(self).shard->Agent().Registered() &&
+           random_.Below(10) != 0;
+  }
+  auto Deliver(const MemberId& to,
+               const std::function<BudgetActions(Process&)>& handler) -> void {
+    auto& process = ProcessOf(to);
+    if (process.self != to || process.dead) return;
+    if (process.paused) {
+      network_.Send([this, to, handler] { Deliver(to, handler); });
+      return;
+    }
+    const bool owned = process.shard->Agent().OwnedTerm().has_value();
+    CarryOut(to, handler(process));
+    if (!owned && process.shard->Agent().OwnedTerm()) ++takeovers_;
+  }
+  auto OnRead(Process* process, const ObjectRecord& object) -> BudgetActions {
+    auto actions = process->shard->OnRead(object, Clock(*process));
+    if (variant_.registered_first || process->shard->Agent().Registered()) {
+      return actions;
+    }
+    // Follows the term that it read before its registration took effect.
+    const auto record = ParseOwnerRecord(object.value);
+    if (!record || !record->owner) return actions;
+    const auto report = process->shard->Holder().Acknowledge(record->term);
+    if (!report) return actions;
+    actions.push_back(SendBudgetMessage{*record->owner, *report});
+    actions.push_back(SendBudgetMessage{
+        *record->owner, process->shard->Holder().ReportDemand()});
+    return actions;
+  }
+  auto Send(const MemberId& from, const SendBudgetMessage& send) -> void {
+    ForgeReplies(from, send);
+    network_.Send([this, send] {
+      Deliver(send.to, [this, send](Process& process) {
+        return process.shard->OnMessage(Forge(&process, send.message),
+                                        Clock(process));
+      });
+    });
+  }
+  // Answers in place of the receiver, before it has seen the message.
+  auto ForgeReplies(const MemberId& from, const SendBudgetMessage& send)
+      -> void {
+    const auto* announcement = std::get_if<TermAnnouncement>(&send.message);
+    if (!variant_.barrier && announcement != nullptr) {
+      Reply(from, HoldingsReport{shard_, announcement->term, send.to, {}});
+    }
+    const auto* change = std::get_if<ChangeShare>(&send.message);
+    if (!variant_.decrease_acknowledged && change != nullptr) {
+      Reply(from, ShareChanged{shard_, change->term, send.to, change->budget,
+                               change->sequence, MicroTokens(0)});
+    }
+  }
+  auto Reply(const MemberId& to, const BudgetMessage& message) -> void {
+    network_.Send([this, to, message] {
+      Deliver(to, [this, message](Process& process) {
+        return process.shard->OnMessage(message, Clock(process));
+      });
+    });
+  }
+  auto Forge(Process* process, BudgetMessage message) -> BudgetMessage {
+    auto& holder = process->shard->Holder();
+    auto* change = std::get_if<ChangeShare>(&message);
+    if (!variant_.term_check && change != nullptr &&
+        change->term != holder.AcknowledgedTerm()) {
+      change->term = holder.AcknowledgedTerm();
+      change->sequence = holder.LastSequence(budget_) + 1;
+    }
+    auto* grant = std::get_if<TransferGrant>(&message);
+    if (grant != nullptr) ForgeGrant(process, grant);
+    return message;
+  }
+  auto ForgeGrant(Process* process, TransferGrant* grant) -> void {
+    const auto sequence = grant->id.sequence;
+    const bool seen = !seen_grants_.insert({process->self, sequence}).second;
+    if ((seen && !variant_.transfer_once) || !variant_.transfer_ages) {
+      if (seen && variant_.transfer_once) return;
+      grant->id = process->shard->Holder()
+                      .RequestTokens(budget_, grant->amount, Clock(*process))
+                      .id;
+    }
+  }
+
+  Random random_;
+  SimulatedNetwork network_;
+  SimulatedStore store_;
+  BudgetFleetVariant variant_;
+  BudgetLimit limit_;
+  Timestamp now_{std::chrono::seconds(1000)};
+  std::map<int, Process> processes_;
+  std::vector<Spending> spent_;
+  std::set<std::pair<MemberId, std::int64_t>> seen_grants_;
+  bool spending_ = true;
+  RevisionNumber revision_{1};
+  double concurrency_excess_ = -1;
+  int takeovers_ = 0;
+};
+
+}  // namespace dotterellug::testing
--- /dev/null
+++ b/modules/budget/tests/budget_tests.cc
@@ -0,0 +1,165 @@
+#include <gtest/gtest.h>
+
+#include "budget/budget.h"
+#include "budget/tests/budget_fleet.h"
+
+namespace dotterellug {
+namespace {
+
+using testing::BudgetFleet;
+using testing::BudgetFleetVariant;
+
+const RateLimit kRate{Tokens(100), Tokens(300)};
+const ConcurrencyCap kCap{12};
+
+// Runs a variant until a schedule breaks the limit; returns its seed, or 0.
+auto FirstViolation(const BudgetLimit& limit, BudgetFleetVariant variant,
+                    std::uint64_t seeds) -> std::uint64_t {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    BudgetFleet fleet(seed, limit, variant);
+    fleet.Run(1500);
+    if (fleet.Excess() > 0) return seed;
+  }
+  return 0;
+}
+
+// Guards against a fleet that together spends more than burst + rate * window,
+// with loss, duplication, reordering, crash, pause, takeover and store outage.
+TEST(BudgetFleetTest, NeverExceedsARateInAnyWindow) {
+  std::int64_t spent = 0;
+  int takeovers = 0;
+  for (std::uint64_t seed = 1; seed <= 1500; ++seed) {
+    BudgetFleetVariant variant;
+    variant.limits_change = seed % 3 == 0;
+    BudgetFleet fleet(seed, kRate, variant);
+    fleet.Run(1500);
+    ASSERT_LE(fleet.Excess(), 0) << "seed " << seed;
+    spent += fleet.Spent();
+    takeovers += fleet.Takeovers();
+  }
+  // The schedules must exercise the limit: 1,500 runs of about 50 s at a rate
+  // of 100 allow about 7 million tokens.
+  EXPECT_GT(spent, 1'000'000);
+  EXPECT_GT(takeovers, 5000);
+}
+
+// Guards against more permits in use over the fleet than the limit.
+TEST(BudgetFleetTest, NeverExceedsAConcurrencyLimit) {
+  std::int64_t admitted = 0;
+  for (std::uint64_t seed = 1; seed <= 600; ++seed) {
+    BudgetFleetVariant variant;
+    variant.limits_change = seed % 3 == 0;
+    BudgetFleet fleet(seed, kCap, variant);
+    fleet.Run(1500);
+    ASSERT_LE(fleet.Excess(), 0) << "seed " << seed;
+    admitted += fleet.Spent();
+  }
+  EXPECT_GT(admitted, 1000);
+}
+
+// Guards against a refund that uses up what another open charge may get back:
+// the fleet could then spend more than the burst at once.
+TEST(TokenBucketTest, RefundsNeverExceedTheBurstAtOnce) {
+  const auto at = [](double seconds) {
+    return Timestamp(FromSeconds(seconds));
+  };
+  TokenBucket bucket({Tokens(10), Tokens(100)}, at(0));
+  bucket.ChangeShare(kWhole, MicroTokens(0), at(0));
+  const auto first = bucket.TryCharge(Tokens(100), at(10));
+  ASSERT_TRUE(first);
+  const auto second = bucket.TryCharge(Tokens(20), at(17));
+  ASSERT_TRUE(second);
+  // 70 tokens came in since the first charge, so 30 of it can still come back;
+  // the second charge keeps its own 20.
+  bucket.Settle(*first, Tokens(60), at(17));
+  EXPECT_EQ(bucket.Available(at(17)), MicroTokens(80 * kMicroTokensPerToken));
+  bucket.Settle(*second, Tokens(25), at(17));
+  EXPECT_EQ(bucket.Available(at(17)), MicroTokens(75 * kMicroTokensPerToken));
+}
+
+// Guards against a deficit that is forgotten, and against one that stays behind
+// when the share moves away.
+TEST(TokenBucketTest, CarriesADeficitOverAndAlongWithTheShare) {
+  const auto now = Timestamp(std::chrono::seconds(1));
+  TokenBucket bucket({Tokens(10), Tokens(100)}, Timestamp{});
+  bucket.ChangeShare(kWhole, MicroTokens(0), Timestamp{});
+  const auto charge = bucket.TryCharge(Tokens(10), now);
+  ASSERT_TRUE(charge);
+  bucket.Settle(*charge, Tokens(50), now);
+  EXPECT_EQ(bucket.Available(now), MicroTokens(-40 * kMicroTokensPerToken));
+  EXPECT_FALSE(bucket.TryCharge(Tokens(1), now + std::chrono::seconds(2)));
+  const auto released =
+      bucket.ChangeShare(PartsPerMillion(250'000), MicroTokens(0), now);
+  EXPECT_EQ(released, MicroTokens(-15 * kMicroTokensPerToken));
+}
+
+// Guards against limits of an old revision coming back, and against a level
+// above the burst of a lower limit.
+TEST(BudgetHolderTest, FollowsTheHighestRevision) {
+  const BudgetId budget("account-a");
+  const auto now = Timestamp(std::chrono::seconds(100));
+  BudgetHolder holder(ShardId("s"), {InstanceId("a"), Incarnation(1)});
+  holder.SetLimits({RevisionNumber(2), {{budget, kRate}}}, Timestamp{});
+  holder.Acknowledge(Term(1));
+  const ChangeShare change{ShardId("s"), Term(1),       budget, 1,
+                           kWhole,       MicroTokens(0)};
+  ASSERT_TRUE(holder.OnChangeShare(change, Timestamp{}));
+  EXPECT_EQ(holder.Available(budget, now), Tokens(300));
+  holder.SetLimits(
+      {RevisionNumber(3), {{budget, RateLimit{Tokens(10), Tokens(20)}}}}, now);
+  holder.SetLimits({RevisionNumber(2), {{budget, kRate}}}, now);
+  EXPECT_EQ(holder.Available(budget, now), Tokens(20));
+  EXPECT_FALSE(holder.TryCharge(budget, Tokens(21), now));
+}
+
+// Guards against a share that is given elsewhere while its permits are in use.
+TEST(ConcurrencyLimitTest, DecreaseWaitsForPermitsInUse) {
+  ConcurrencyLimit limit(ConcurrencyCap{10});
+  ASSERT_TRUE(limit.ChangeShare(kWhole));
+  const auto charge = limit.TryAcquire(6);
+  ASSERT_TRUE(charge);
+  EXPECT_FALSE(limit.ChangeShare(PartsPerMillion(500'000)));
+  EXPECT_FALSE(limit.TryAcquire(1));
+  limit.Release(*charge);
+  EXPECT_TRUE(limit.ChangeShare(PartsPerMillion(500'000)));
+  EXPECT_EQ(limit.Permits(), 5);
+}
+
+struct GuardCase {
+  const char* name;
+  BudgetFleetVariant variant;
+};
+
+class BudgetGuardTest : public ::testing::TestWithParam<GuardCase> {};
+
+// Guards against a fleet test that cannot fail: without any one guard, some
+// schedule must break the limit.
+TEST_P(BudgetGuardTest, WithoutItSomeScheduleExceedsTheLimit) {
+  EXPECT_NE(FirstViolation(kRate, GetParam().variant, 3000), 0U);
+}
+
+auto Without(bool BudgetFleetVariant::*guard) -> BudgetFleetVariant {
+  BudgetFleetVariant variant;
+  variant.*guard = false;
+  return variant;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Guards, BudgetGuardTest,
+    ::testing::Values(
+        GuardCase{"Barrier", Without(&BudgetFleetVariant::barrier)},
+        GuardCase{"TermCheck", Without(&BudgetFleetVariant::term_check)},
+        GuardCase{"DecreaseAcknowledged",
+                  Without(&BudgetFleetVariant::decrease_acknowledged)},
+        GuardCase{"RegisteredFirst",
+                  Without(&BudgetFleetVariant::registered_first)},
+        GuardCase{"TransferOnce", Without(&BudgetFleetVariant::transfer_once)},
+        GuardCase{"TransferAges", Without(&BudgetFleetVariant::transfer_ages)},
+        GuardCase{"ConditionalWrites",
+                  Without(&BudgetFleetVariant::conditional_writes)}),
+    [](const ::testing::TestParamInfo<GuardCase>& info) {
+      return info.param.name;
+    });
+
+}  // namespace
+}  // namespace dotterellug
--- a/modules/ownership/agent/shard_agent.cc
+++ b/modules/ownership/agent/shard_agent.cc
@@ -1,5 +1,6 @@
 #include "ownership/agent/shard_agent.h"
 
+#include <set>
 #include <utility>
 
 namespace dotterellug {
@@ -65,8 +66,8 @@
 
 auto ShardAgent::OnGone(const MemberId& member) -> OwnershipActions {
   OwnershipActions actions;
+  gone_.Add(member);
   if (!ownership_) return actions;
-  gone_.insert(member);
   ownership_->barrier.ConfirmGone(member);
   CheckBarrier(&actions);
   return actions;
@@ -75,7 +76,9 @@
 auto ShardAgent::ForgetDeparted() -> OwnershipActions {
   if (!MayAct() || pending_ || record_->term != ownership_->term) return {};
   auto record = *record_;
-  for (const auto& member : gone_) record.RemoveMember(member);
+  for (const auto& member : record_->members) {
+    if (gone_.Contains(member)) record.RemoveMember(member);
+  }
   record.departed.clear();
   if (record == *record_) return {};
   return Propose(std::move(record));
@@ -142,8 +145,10 @@
   const auto term = record_->term;
   if (ownership_) actions->push_back(OwnershipLost{ownership_->term});
   ownership_ = Ownership{term, TermBarrier(term, record_->members), false};
-  gone_.clear();
   fence_.Acknowledge(term);
+  for (const auto& member : record_->members) {
+    if (gone_.Contains(member)) ownership_->barrier.ConfirmGone(member);
+  }
   actions->push_back(OwnershipGained{term});
   actions->push_back(AcknowledgeTerm{term, self_});
   Announce(actions);
