--- a/extras/standins/engine/engine_server.h
+++ b/extras/standins/engine/engine_server.h
@@ -9,10 +9,10 @@
 
 #include "core/core.h"
 #include "frontend/http/http_server.h"
-#include "standins/upstream_faults/fault_table.h"
 #include "standins/engine/engine_memory.h"
 #include "standins/engine/engine_slots.h"
 #include "standins/engine/prefix_cache.h"
+#include "standins/upstream_faults/fault_table.h"
 
 namespace dotterellug::standins {
 
