--- a/daemon/app/daemon.cc
+++ b/daemon/app/daemon.cc
@@ -128,8 +128,9 @@
   }
 
   auto HandleAdmin(const HttpRequest& request) -> HttpResponse {
-    if (request.path == "/live")
+    if (request.path == "/live") {
       return PlainResponse(200, "ok\n", "text/plain");
+    }
     if (request.path == "/ready") {
       return IsReady() ? PlainResponse(200, "ok\n", "text/plain")
                        : PlainResponse(503, "not ready\n", "text/plain");
--- a/daemon/state/shared_state.h
+++ b/daemon/state/shared_state.h
@@ -29,12 +29,15 @@
 // What the traffic threads share. The control thread writes the published
 // values and flags; everything else is thread-safe by itself.
 struct SharedState {
+  static constexpr RetryBudgetOptions kResumeOptions{kWhole, 32};
+
   SharedState(const InstanceId& instance, Incarnation incarnation,
               const AdmissionOptions& admission)
       : ids(instance, incarnation),
         gate(admission),
         prefixes(PrefixIndexOptions{}),
         retry_budget(RetryBudgetOptions{}),
+        resume_budget(kResumeOptions),
         retry_random(Hash64(instance.Value())) {}
 
   Metrics metrics;
@@ -55,6 +58,9 @@
 
   std::mutex retry_mutex;
   RetryBudget retry_budget;
+  // Streams that are cut off when an engine dies all at once need more than
+  // the retry budget allows; a resume repeats only the rest of the work.
+  RetryBudget resume_budget;
   Random retry_random;
 };
 
--- a/daemon/traffic/completion_call.cc
+++ b/daemon/traffic/completion_call.cc
@@ -112,8 +112,9 @@
   call.headers = {{"Content-Type", "application/json"},
                   {"X-Priority", std::string(ClassName(context_.priority))},
                   {"X-Client-Account", context_.account.Value()}};
-  if (!adapter_.Empty())
+  if (!adapter_.Empty()) {
     call.headers.push_back({"X-Adapter", adapter_.Value()});
+  }
   if (last_event_ > 0) {
     call.headers.push_back({"X-Resume-From", std::to_string(last_event_)});
   }
@@ -200,7 +201,8 @@
 auto CompletionCall::Run() -> tl::expected<HttpResponse, RequestFailure> {
   {
     const std::lock_guard lock(state_.retry_mutex);
-    state_.retry_budget.CountRequest(context_.account, MonotonicNow());
+    state_.retry_budget.CountRequest(context_.account, context_.arrival);
+    state_.resume_budget.CountRequest(context_.account, context_.arrival);
   }
   if (auto failure = WaitForCapacity()) {
     Finish("refused");
@@ -341,8 +343,7 @@
   exchange_.reset();
   routing_.excluded.push_back(dispatch_->upstream);
   EndAttempt();
-  if (attempts_ >= kMaxAttempts ||
-      !WaitForRetry(state_, context_, attempts_ - 1, caller_)) {
+  if (attempts_ >= kMaxAttempts || caller_.IsClosed() || !TakeResume()) {
     return false;
   }
   const auto head = BeginAttempts();
@@ -351,6 +352,11 @@
   return true;
 }
 
+auto CompletionCall::TakeResume() -> bool {
+  const std::lock_guard lock(state_.retry_mutex);
+  return state_.resume_budget.TryRetry(context_.account, MonotonicNow());
+}
+
 auto CompletionCall::EndWithError(const Error& error) -> BodyStep {
   exchange_.reset();
   dispatch_.reset();
--- a/daemon/traffic/completion_call.h
+++ b/daemon/traffic/completion_call.h
@@ -51,6 +51,7 @@
   auto TakeEvents(const std::vector<StreamEvent>& events) -> std::string;
   // Continues a cut stream on another engine. False when it must end.
   auto ResumeStream() -> bool;
+  auto TakeResume() -> bool;
   auto EndWithError(const Error& error) -> BodyStep;
   auto Finish(const std::string& outcome) -> void;
   auto IsCancelled() const -> bool;
--- a/modules/upstream/exchange/upstream_call.h
+++ b/modules/upstream/exchange/upstream_call.h
@@ -33,7 +33,8 @@
   std::string url;
   std::vector<UpstreamHeader> headers;
   std::string body;
-  // Sent as X-Request-Id; the response must echo it.
+  // Sent as X-Request-Id; the response must echo it. Empty sends and checks
+  // none.
   RequestId attempt;
   // Whether the call may reach the upstream more than once. A call that may
   // not always uses a new connection.
--- a/modules/upstream/exchange/upstream_exchange.cc
+++ b/modules/upstream/exchange/upstream_exchange.cc
@@ -85,7 +85,8 @@
     // Upstreams echo the id of the attempt; another one means that the
     // response was meant for somebody else.
     const auto echoed = head_.Header("X-Request-Id");
-    if (!echoed.empty() && echoed != call.attempt.Value()) {
+    if (!call.attempt.Empty() && !echoed.empty() &&
+        echoed != call.attempt.Value()) {
       failed_ = true;
       delivery_ = Delivery::kUnknown;
       return Fail(ErrorKind::kProtocol,
@@ -161,7 +162,9 @@
     // again by itself.
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, call.repeatable ? 0L : 1L);
     curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, call.repeatable ? 0L : 1L);
-    AddHeader("X-Request-Id", call.attempt.Value());
+    if (!call.attempt.Empty()) {
+      AddHeader("X-Request-Id", call.attempt.Value());
+    }
     AddHeader("Expect", "");
     for (const auto& header : call.headers) {
       AddHeader(header.name, header.value);
