Distrust unexpected responses of the object API

Cause: a response from an intermediary or of another request could be taken for the API's statement about this update, and a host name was looked up at the first call, outside the error handling. Change: responses to updates carry the object's name and are checked like reads; a host that is no IPv4 address is an invalid argument. A table of unexpected responses tests both. Conclusion: an update reports "not done" only on the API's own word or when no connection was made.

--- a/extras/standins/object_api/object_api_server.cc
+++ b/extras/standins/object_api/object_api_server.cc
@@ -25,9 +25,11 @@
   return ErrorReply(Error{ErrorKind::kInvalidArgument, message, ""});
 }
 
-auto VersionReply(const Result<ObjectVersion>& version) -> HttpReply {
+auto VersionReply(const std::string& name, const Result<ObjectVersion>& version)
+    -> HttpReply {
   if (!version) return ErrorReply(version.error());
-  return HttpReply{200, Json{{"version", version->Value()}}.dump()};
+  return HttpReply{200,
+                   Json{{"name", name}, {"version", version->Value()}}.dump()};
 }
 
 auto RecordJson(const ObjectRecord& record) -> Json {
@@ -134,7 +136,7 @@
   const std::lock_guard lock(mutex_);
   const auto version = table_.Put(name, value, ObjectVersion(*expected));
   changed_.notify_all();
-  return VersionReply(version);
+  return VersionReply(name, version);
 }
 
 auto ObjectApiServer::Remove(const std::string& name,
@@ -144,7 +146,7 @@
   const std::lock_guard lock(mutex_);
   const auto version = table_.Remove(name, ObjectVersion(*expected));
   changed_.notify_all();
-  return VersionReply(version);
+  return VersionReply(name, version);
 }
 
 auto ObjectApiServer::List(const std::string& prefix, const FaultAction& action)
--- a/modules/store/http/http_object_store.cc
+++ b/modules/store/http/http_object_store.cc
@@ -1,5 +1,6 @@
 #include "store/http/http_object_store.h"
 
+#include <arpa/inet.h>
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 
@@ -99,6 +100,12 @@
                       json.at("value").get<std::string>()};
 }
 
+auto ParseUpdate(const Json& json) -> ObjectRecord {
+  return ObjectRecord{json.at("name").get<std::string>(),
+                      ObjectVersion(json.at("version").get<std::int64_t>()),
+                      ""};
+}
+
 auto ParseEvent(const Json& json) -> ObjectEvent {
   return ObjectEvent{json.at("name").get<std::string>(),
                      ObjectVersion(json.at("version").get<std::int64_t>()),
@@ -176,16 +183,17 @@
 
 auto HttpObjectStore::Put(const std::string& name, const std::string& value,
                           ObjectVersion expected) -> Result<ObjectVersion> {
-  return Update({"PUT",
-                 ObjectPath(name),
-                 Condition(expected),
-                 Json{{"value", value}}.dump(),
-                 {}});
+  return Update(name, {"PUT",
+                       ObjectPath(name),
+                       Condition(expected),
+                       Json{{"value", value}}.dump(),
+                       {}});
 }
 
 auto HttpObjectStore::Remove(const std::string& name, ObjectVersion expected)
     -> Result<ObjectVersion> {
-  return Update({"DELETE", ObjectPath(name), Condition(expected), "", {}});
+  return Update(name,
+                {"DELETE", ObjectPath(name), Condition(expected), "", {}});
 }
 
 auto HttpObjectStore::List(const std::string& prefix) -> Result<ListResult> {
@@ -207,7 +215,13 @@
 }
 
 auto HttpObjectStore::Connect() const
-    -> std::unique_ptr<cxxtools::http::Client> {
+    -> Result<std::unique_ptr<cxxtools::http::Client>> {
+  in_addr address{};
+  if (inet_pton(AF_INET, settings_.host.c_str(), &address) != 1) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "object API host \"" + settings_.host + "\"",
+                "set an IPv4 address");
+  }
   return std::make_unique<cxxtools::http::Client>(settings_.host,
                                                   settings_.port);
 }
@@ -235,7 +249,11 @@
 }
 
 auto HttpObjectStore::Read(const Call& call) -> Result<Response> {
-  if (!reader_) reader_ = Connect();
+  if (!reader_) {
+    auto client = Connect();
+    if (!client) return tl::unexpected<Error>(client.error());
+    reader_ = *std::move(client);
+  }
   auto response = Exchange(*reader_, call);
   if (response && response->status == 200) return response;
   if (!response) {
@@ -251,9 +269,11 @@
       "the object API responded " + std::to_string(response->status));
 }
 
-auto HttpObjectStore::Update(const Call& call) const -> Result<ObjectVersion> {
+auto HttpObjectStore::Update(const std::string& name, const Call& call) const
+    -> Result<ObjectVersion> {
   const auto client = Connect();
-  const auto response = Exchange(*client, call);
+  if (!client) return tl::unexpected<Error>(client.error());
+  const auto response = Exchange(**client, call);
   if (!response) {
     if (response.error().kind == ErrorKind::kUnavailable) {
       return tl::unexpected<Error>(response.error());
@@ -262,10 +282,8 @@
                     call.path + ": " + response.error().message);
   }
   if (response->status == 200) {
-    auto version = Decode(response->body, [](const Json& json) {
-      return ObjectVersion(json.at("version").get<std::int64_t>());
-    });
-    if (version) return version;
+    const auto done = Decode(response->body, ParseUpdate);
+    if (done && done->name == name) return done->version;
   } else if (auto stated = StatedFailure(response->status, response->body)) {
     return tl::unexpected<Error>(*std::move(stated));
   }
--- a/modules/store/http/http_object_store.h
+++ b/modules/store/http/http_object_store.h
@@ -15,7 +15,8 @@
 
 namespace dotterellug {
 
-// Where the object API listens (an IP address) and how long to wait for it.
+// Where the object API listens (an IPv4 address) and how long to wait for it.
+// Another host gives kInvalidArgument at each call; names are not resolved.
 struct HttpObjectStoreSettings {
   std::string host;
   std::uint16_t port = 0;
@@ -29,6 +30,8 @@
 //   GET, PUT, DELETE /v1/objects/NAME?if_version=N
 //   GET /v1/list?prefix=P
 //   GET /v1/watch?prefix=P&after=N&timeout_ms=T
+// Responses about one object carry its name; another name means that the
+// response belongs to another request.
 // Use it through ObjectStore, which checks names and values.
 //
 // Reads share one connection, which is closed after any doubt about it. Each
@@ -59,8 +62,9 @@
   auto Exchange(cxxtools::http::Client& client, const Call& call) const
       -> Result<Response>;
   auto Read(const Call& call) -> Result<Response>;
-  auto Update(const Call& call) const -> Result<ObjectVersion>;
-  auto Connect() const -> std::unique_ptr<cxxtools::http::Client>;
+  auto Update(const std::string& name, const Call& call) const
+      -> Result<ObjectVersion>;
+  auto Connect() const -> Result<std::unique_ptr<cxxtools::http::Client>>;
 
   HttpObjectStoreSettings settings_;
   // Connection for reads; empty until the first read and after any doubt.
--- a/modules/store/tests/store_tests.cc
+++ b/modules/store/tests/store_tests.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "standins/common/http_server.h"
 #include "store/store.h"
 
 namespace dotterellug {
@@ -29,5 +30,67 @@
   EXPECT_EQ(store.Get("a").error().kind, ErrorKind::kUnavailable);
 }
 
+// Guards against a host name that is looked up on the request path.
+TEST(HttpObjectStoreTest, HostIsAnAddress) {
+  ObjectStore store{HttpObjectStore({"object-api", 1})};
+  EXPECT_EQ(store.Get("a").error().kind, ErrorKind::kInvalidArgument);
+  EXPECT_EQ(store.Put("a", "1", kAbsent).error().kind,
+            ErrorKind::kInvalidArgument);
+}
+
+struct ResponseCase {
+  const char* guards_against;
+  HttpReply reply;
+  ErrorKind read;
+  ErrorKind update;
+};
+
+// Guards against a response from an intermediary, or of another request, that
+// is taken for the statement of the object API about this one.
+TEST(HttpObjectStoreTest, UnexpectedResponses) {
+  const auto other = R"({"name":"b","version":1,"value":"x"})";
+  const auto typed = R"({"error":{"type":"unavailable","message":"m"}})";
+  const std::vector<ResponseCase> cases{
+      {"text in place of JSON",
+       {200, "<html>"},
+       ErrorKind::kProtocol,
+       ErrorKind::kOutcomeUnknown},
+      {"the object of another request",
+       {200, other},
+       ErrorKind::kProtocol,
+       ErrorKind::kOutcomeUnknown},
+      {"an intermediary's 503 taken for not done",
+       {503, "busy"},
+       ErrorKind::kUnavailable,
+       ErrorKind::kOutcomeUnknown},
+      {"an intermediary's 404 taken for an absent object",
+       {404, "no route"},
+       ErrorKind::kUnavailable,
+       ErrorKind::kOutcomeUnknown},
+      {"an error body that contradicts the status",
+       {409, typed},
+       ErrorKind::kUnavailable,
+       ErrorKind::kOutcomeUnknown},
+      {"a refusal taken for an unknown outcome",
+       {503, typed},
+       ErrorKind::kUnavailable,
+       ErrorKind::kUnavailable},
+  };
+  HttpReply reply;
+  const auto server =
+      HttpServer::Start("127.0.0.1", 0, [&](const auto&) { return reply; });
+  ObjectStore store{HttpObjectStore({"127.0.0.1", (*server)->Port()})};
+  for (const auto& test : cases) {
+    SCOPED_TRACE(std::string("guards against ") + test.guards_against);
+    reply = test.reply;
+    const auto read = store.Get("a");
+    ASSERT_FALSE(read.has_value());
+    EXPECT_EQ(read.error().kind, test.read) << read.error().Text();
+    const auto update = store.Put("a", "1", kAbsent);
+    ASSERT_FALSE(update.has_value());
+    EXPECT_EQ(update.error().kind, test.update) << update.error().Text();
+  }
+}
+
 }  // namespace
 }  // namespace dotterellug
