Rename the demand report of the placement module

Cause: budget and placement both defined DemandReport in one namespace, so a program that links both has two definitions of one type. Change: the placement module's report is ModelDemandReport. Conclusion: the daemon can link both modules.

--- a/modules/placement/demand/demand_counter.cc
+++ b/modules/placement/demand/demand_counter.cc
@@ -14,8 +14,8 @@
   sum.refused += tokens.refused;
 }
 
-auto DemandCounter::TakeReport() -> DemandReport {
-  DemandReport report{instance_, incarnation_, ++last_sequence_, {}};
+auto DemandCounter::TakeReport() -> ModelDemandReport {
+  ModelDemandReport report{instance_, incarnation_, ++last_sequence_, {}};
   report.models.swap(models_);
   return report;
 }
--- a/modules/placement/demand/demand_counter.h
+++ b/modules/placement/demand/demand_counter.h
@@ -17,7 +17,7 @@
   // admitted again when it leaves the queue.
   void Add(const ModelId& model, const DemandTokens& tokens);
   // The sums since the last call, to be sent until acknowledged.
-  auto TakeReport() -> DemandReport;
+  auto TakeReport() -> ModelDemandReport;
 
  private:
   InstanceId instance_;
--- a/modules/placement/demand/demand_estimator.cc
+++ b/modules/placement/demand/demand_estimator.cc
@@ -6,7 +6,8 @@
 
 DemandEstimator::DemandEstimator(DemandWindows windows) : windows_(windows) {}
 
-auto DemandEstimator::Apply(Timestamp now, const DemandReport& report) -> bool {
+auto DemandEstimator::Apply(Timestamp now, const ModelDemandReport& report)
+    -> bool {
   auto& source = sources_[report.instance];
   if (report.incarnation < source.incarnation) return false;
   if (report.incarnation == source.incarnation &&
--- a/modules/placement/demand/demand_estimator.h
+++ b/modules/placement/demand/demand_estimator.h
@@ -32,7 +32,7 @@
 
   // Ignores a report whose sequence was applied already, or whose incarnation
   // is older than one seen from the instance. Returns whether it was applied.
-  auto Apply(Timestamp now, const DemandReport& report) -> bool;
+  auto Apply(Timestamp now, const ModelDemandReport& report) -> bool;
   // Adds the rates of an estimator with the same windows that was fed from
   // other daemons.
   void Merge(Timestamp now, const DemandEstimator& other);
--- a/modules/placement/demand/demand_report.h
+++ b/modules/placement/demand/demand_report.h
@@ -20,7 +20,7 @@
 
 // What one daemon saw since its previous report. A repeated sequence number of
 // the same incarnation is ignored by the receiver.
-struct DemandReport {
+struct ModelDemandReport {
   InstanceId instance;
   Incarnation incarnation;
   std::int64_t sequence = 0;
