--- a/daemon/app/daemon.cc
+++ b/daemon/app/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "daemon/control/control_loop.h"
 #include "daemon/control/instance_list_reader.h"
+#include "daemon/control/placement_service.h"
 #include "daemon/control/store_reader.h"
 #include "daemon/state/shared_state.h"
 #include "daemon/traffic/request_handler.h"
@@ -112,15 +113,34 @@
     const auto send = [this](ControlEvent event) {
       control_->Send(std::move(event));
     };
-    monitor_ = std::make_unique<UpstreamMonitor>(send, kPollInterval);
-    control_->SetMonitor(monitor_.get());
+    const MemberId self{settings_.instance, incarnation_};
+    placement_ = std::make_unique<PlacementService>(
+        self, std::make_unique<ObjectStore>(OpenStore()), state_.metrics);
+    monitor_ = std::make_unique<UpstreamMonitor>(
+        [this, send](const UpstreamObservation& observation) {
+          placement_->OnObservation(observation);
+          send(observation);
+        },
+        kPollInterval);
+    control_->SetListeners(
+        [this](const SharedSnapshot& snapshot) {
+          monitor_->SetDocument(snapshot);
+          placement_->SetDocument(snapshot);
+        },
+        [this](const std::set<UpstreamId>& leaving) {
+          placement_->SetLeaving(leaving);
+        });
+    store_reader_ =
+        std::make_unique<StoreReader>([this] { return OpenStore(); }, send);
+    instance_list_ = std::make_unique<InstanceListReader>(
+        TargetOf(settings_.platform.instance_list), send);
+  }
+
+  auto OpenStore() const -> ObjectStore {
     HttpObjectStoreSettings store;
     store.host = settings_.platform.object_api.host;
     store.port = settings_.platform.object_api.port;
-    store_reader_ = std::make_unique<StoreReader>(
-        [store] { return ObjectStore(HttpObjectStore(store)); }, send);
-    instance_list_ = std::make_unique<InstanceListReader>(
-        TargetOf(settings_.platform.instance_list), send);
+    return ObjectStore(HttpObjectStore(store));
   }
 
   auto IsReady() const -> bool {
@@ -156,6 +176,7 @@
             {"ready", IsReady()},
             {"draining", draining_.load()},
             {"isolated", state_.isolated.load()},
+            {"placement_owner", placement_->IsOwner()},
             {"currency_age_ms",
              std::chrono::duration_cast<std::chrono::milliseconds>(
                  control_->CurrencyAge())
@@ -169,6 +190,7 @@
   std::atomic<bool> draining_{false};
   std::unique_ptr<RequestHandler> handler_;
   std::unique_ptr<ControlLoop> control_;
+  std::unique_ptr<PlacementService> placement_;
   std::unique_ptr<UpstreamMonitor> monitor_;
   std::unique_ptr<StoreReader> store_reader_;
   std::unique_ptr<InstanceListReader> instance_list_;
--- /dev/null
+++ b/daemon/control/command_sender.cc
@@ -0,0 +1,95 @@
+#include "daemon/control/command_sender.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dotterellug {
+namespace {
+
+constexpr Duration kCommandTimeout = std::chrono::seconds(5);
+// Terms and sequences share one fencing number towards engines.
+constexpr std::int64_t kSequencesPerTerm = 1'000'000;
+
+auto ActionOf(const EngineCommand& command) -> std::string {
+  const std::string verb =
+      command.kind == CommandKind::kLoad ? "load_" : "unload_";
+  return verb + (command.item.IsAdapter() ? "adapter" : "model");
+}
+
+auto BodyOf(const EngineCommand& command) -> std::string {
+  const auto fencing = command.fencing.term.Value() * kSequencesPerTerm +
+                       command.fencing.sequence;
+  const auto& item = command.item;
+  return nlohmann::json({{"id", std::to_string(fencing)},
+                         {"fencing", fencing},
+                         {"action", ActionOf(command)},
+                         {"name", item.IsAdapter() ? item.adapter.Value()
+                                                   : item.model.Value()},
+                         {"model", item.model.Value()},
+                         {"version", item.version},
+                         {"bytes", command.bytes.Value()}})
+      .dump();
+}
+
+}  // namespace
+
+CommandSender::CommandSender(Authorize authorize, Answered answered)
+    : authorize_(std::move(authorize)), answered_(std::move(answered)) {
+  for (std::size_t i = 0; i < kThreads; ++i) {
+    threads_.emplace_back([this] { Run(); });
+  }
+}
+
+CommandSender::~CommandSender() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  queued_.notify_all();
+  for (auto& thread : threads_) thread.join();
+}
+
+auto CommandSender::Send(AddressedCommand command) -> void {
+  {
+    const std::lock_guard lock(mutex_);
+    queue_.push_back(std::move(command));
+  }
+  queued_.notify_one();
+}
+
+auto CommandSender::Run() -> void {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    queued_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+    if (stopping_) return;
+    const auto command = std::move(queue_.front());
+    queue_.pop_front();
+    lock.unlock();
+    Perform(command);
+    lock.lock();
+  }
+}
+
+auto CommandSender::Perform(const AddressedCommand& addressed) -> void {
+  const auto& command = addressed.command;
+  UpstreamExchange exchange(addressed.target);
+  UpstreamCall call;
+  call.target = addressed.target;
+  call.url = "/commands";
+  call.body = BodyOf(command);
+  if (!authorize_(command)) return;
+  const auto head = exchange.Begin(call, kCommandTimeout);
+  if (!head) return;
+  CommandAnswer answer;
+  answer.engine = command.engine;
+  answer.fencing = command.fencing;
+  if (head->status == 200) {
+    answer.outcome = CommandOutcome::kDone;
+  } else if (head->status == 409) {
+    answer.outcome = CommandOutcome::kStale;
+  } else {
+    answer.outcome = CommandOutcome::kFailed;
+  }
+  answered_(answer);
+}
+
+}  // namespace dotterellug
--- a/daemon/control/control_loop.cc
+++ b/daemon/control/control_loop.cc
@@ -89,7 +89,7 @@
                                      std::move(fetched.document), digest_key_);
   fleet_.SetSnapshot(snapshot);
   state_.snapshot.Store(snapshot);
-  if (monitor_ != nullptr) monitor_->SetDocument(snapshot);
+  if (on_document_) on_document_(snapshot);
   PublishRouting();
   state_.metrics.Set(Level::kRevision,
                      static_cast<double>(fetched.ref.number.Value()));
@@ -106,7 +106,9 @@
   for (const auto& instance : list.leaving) {
     leaving.insert(UpstreamId(instance.Value()));
   }
-  if (fleet_.SetLeaving(std::move(leaving))) PublishRouting();
+  if (!fleet_.SetLeaving(leaving)) return;
+  PublishRouting();
+  if (on_leaving_) on_leaving_(leaving);
 }
 
 auto ControlLoop::PublishRouting() -> void {
--- a/daemon/control/control_loop.h
+++ b/daemon/control/control_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -29,8 +30,14 @@
   // Age of the last proof that the revision is current.
   auto CurrencyAge() const -> Duration;
 
-  // The monitor that gets each new document; set once before events arrive.
-  auto SetMonitor(UpstreamMonitor* monitor) -> void { monitor_ = monitor; }
+  // Called on the control thread with each new document and with the upstreams
+  // that leave; set once before events arrive.
+  using OnDocument = std::function<auto(const SharedSnapshot&)->void>;
+  using OnLeaving = std::function<auto(const std::set<UpstreamId>&)->void>;
+  auto SetListeners(OnDocument on_document, OnLeaving on_leaving) -> void {
+    on_document_ = std::move(on_document);
+    on_leaving_ = std::move(on_leaving);
+  }
 
  private:
   auto Run() -> void;
@@ -44,7 +51,8 @@
   DigestKey digest_key_;
   RevisionFollower follower_;
   FleetView fleet_;
-  UpstreamMonitor* monitor_ = nullptr;
+  OnDocument on_document_;
+  OnLeaving on_leaving_;
   Mailbox<ControlEvent> mailbox_;
   Timestamp proved_at_;
   bool store_up_ = false;
--- a/daemon/control/upstream_monitor.cc
+++ b/daemon/control/upstream_monitor.cc
@@ -28,6 +28,7 @@
       Incarnation(json.value("incarnation", std::int64_t{0}));
   observation.cold = json.value("cold", false);
   observation.load.measured_at = now - age;
+  observation.sampled_at = observation.asked_at - age;
   observation.load.running_requests = json.value("running", std::int64_t{0});
   observation.load.waiting_requests = json.value("waiting", std::int64_t{0});
   observation.load.waiting_tokens =
@@ -35,17 +36,18 @@
   observation.load.max_running = json.value("max_batch", std::int64_t{0});
   observation.load.prefill_tokens_per_ms =
       json.value("prefill_tokens_per_ms", 0.0);
-  if (const auto models = json.find("models");
-      models != json.end() && models->is_object()) {
-    for (const auto& [name, version] : models->items()) {
-      observation.models.emplace_back(name);
-    }
-  }
-  if (const auto adapters = json.find("adapters");
-      adapters != json.end() && adapters->is_array()) {
-    for (const auto& name : *adapters) {
-      observation.adapters.emplace_back(name.get<std::string>());
+  for (const auto& item : json.value("resident", nlohmann::json::array())) {
+    ResidentItem resident;
+    resident.key.model = ModelId(item.at("model").get<std::string>());
+    resident.key.version = item.at("version").get<std::string>();
+    resident.key.adapter = AdapterId(item.value("adapter", ""));
+    resident.bytes = Bytes(item.at("bytes").get<std::int64_t>());
+    if (resident.key.IsAdapter()) {
+      observation.adapters.push_back(resident.key.adapter);
+    } else {
+      observation.models.push_back(resident.key.model);
     }
+    observation.resident.push_back(std::move(resident));
   }
 }
 
@@ -97,6 +99,7 @@
     -> UpstreamObservation {
   UpstreamObservation observation;
   observation.upstream = upstream.id;
+  observation.asked_at = MonotonicNow();
   UpstreamCall call;
   call.target = exchange.Target();
   call.method = "GET";
--- a/daemon/control/upstream_monitor.h
+++ b/daemon/control/upstream_monitor.h
@@ -9,6 +9,7 @@
 #include "core/core.h"
 #include "daemon/state/published.h"
 #include "document/document.h"
+#include "placement/placement.h"
 #include "routing/routing.h"
 #include "upstream/upstream.h"
 
@@ -24,7 +25,11 @@
   LoadReport load;
   std::vector<ModelId> models;
   std::vector<AdapterId> adapters;
-  std::vector<CacheEvent> cache_events;
+  // Models and adapters with their versions and sizes, for placement.
+  std::vector<ResidentItem> resident;
+  // Time of the question, and that less the age which the report states.
+  Timestamp asked_at;
+  Timestamp sampled_at;
 };
 
 // Asks the upstreams of the document for their load reports on threads of its
--- a/daemon/tests/request_path_fixture.h
+++ b/daemon/tests/request_path_fixture.h
@@ -89,7 +89,7 @@
       auto engine = standins::EngineServer::Start(options);
       ASSERT_TRUE(engine);
       (*engine)->Memory().Apply(
-          {"preload", 0, "load_model", "chat", "1", Bytes(1000)});
+          {"preload", 0, "load_model", "chat", "1", Bytes(1000), ""});
       AddUpstream(options.id, UpstreamKind::kEngine, "language",
                   (*engine)->Port());
       engines_.push_back(std::move(*engine));
--- a/extras/standins/engine/engine_memory.cc
+++ b/extras/standins/engine/engine_memory.cc
@@ -19,7 +19,7 @@
     if (found != items.end() && found->second.version == command.version) {
       return CommandResult::kAlreadyApplied;
     }
-    items[command.name] = {command.version, command.bytes};
+    items[command.name] = {command.version, command.bytes, command.model};
   } else if (command.action == "unload_model" ||
              command.action == "unload_adapter") {
     if (items.erase(command.name) == 0) return CommandResult::kAlreadyApplied;
--- a/extras/standins/engine/engine_memory.h
+++ b/extras/standins/engine/engine_memory.h
@@ -13,6 +13,8 @@
 struct LoadedItem {
   std::string version;
   Bytes bytes;
+  // Base model of an adapter.
+  std::string model;
 };
 
 // One command as the engine receives it.
@@ -24,6 +26,8 @@
   std::string name;
   std::string version;
   Bytes bytes;
+  // Base model of an adapter.
+  std::string model;
 };
 
 enum class CommandResult { kApplied, kAlreadyApplied, kStaleFencing, kUnknown };
--- a/extras/standins/engine/engine_server.cc
+++ b/extras/standins/engine/engine_server.cc
@@ -291,6 +291,7 @@
   command.fencing = json.value("fencing", std::int64_t{0});
   command.action = json.value("action", "");
   command.name = json.value("name", "");
+  command.model = json.value("model", "");
   command.version = json.value("version", "");
   command.bytes = Bytes(json.value("bytes", std::int64_t{0}));
   if (const auto late = faults_.Take("command_late")) {
@@ -327,10 +328,18 @@
   const auto now = MonotonicNow();
   if (report_.empty() || now - report_time_ >= options_.report_lag) {
     const auto memory = memory_.Read();
-    Json models = Json::object();
-    for (const auto& [name, item] : memory.models) models[name] = item.version;
-    Json adapters = Json::array();
-    for (const auto& [name, item] : memory.adapters) adapters.push_back(name);
+    Json resident = Json::array();
+    for (const auto& [name, item] : memory.models) {
+      resident.push_back({{"model", name},
+                          {"version", item.version},
+                          {"bytes", item.bytes.Value()}});
+    }
+    for (const auto& [name, item] : memory.adapters) {
+      resident.push_back({{"model", item.model},
+                          {"adapter", name},
+                          {"version", item.version},
+                          {"bytes", item.bytes.Value()}});
+    }
     report_time_ = now;
     report_ = Json({{"incarnation", incarnation_},
                     {"running", slots_.Running()},
@@ -339,11 +348,16 @@
                     {"memory_used", memory.used.Value()},
                     {"memory_capacity", memory.capacity.Value()},
                     {"cold", cold_left_ > 0},
-                    {"models", models},
-                    {"adapters", adapters}})
+                    {"resident", resident}})
                   .dump();
   }
-  return {200, {{"Content-Type", "application/json"}}, report_, false};
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - report_time_);
+  return {200,
+          {{"Content-Type", "application/json"}},
+          "{\"age_ms\":" + std::to_string(age.count() + 1) + "," +
+              report_.substr(1),
+          false};
 }
 
 auto EngineServer::Ledger() -> HttpResponse {
--- a/extras/standins/engine/main.cc
+++ b/extras/standins/engine/main.cc
@@ -33,8 +33,8 @@
         !(parts >> bytes)) {
       return false;
     }
-    memory.Apply(
-        {"preload", 0, "load_model", name, version, dotterellug::Bytes(bytes)});
+    memory.Apply({"preload", 0, "load_model", name, version,
+                  dotterellug::Bytes(bytes), ""});
   }
   return true;
 }
