Add commands that change a deployment

Cause: Operators change one section at a time, issue and revoke keys, and take zones out, while others edit and while responses get lost.

Change: dotterellugctl has section get, edit, apply, history and rollback, keys issue, rotate and revoke, zones out and in, and wait.

Figures: before, no command that reaches the object API.

Conclusion: wait needs GET /status on the daemons' admin address with the integer revision.

--- a/client/commands/command.h
+++ b/client/commands/command.h
@@ -1,12 +1,14 @@
 #pragma once
 
-#include <iostream>
+#include <functional>
 #include <ostream>
 #include <string>
 #include <vector>
 
 #include "client/options/options.h"
+#include "client/platform/deployment.h"
 #include "core/errors/error.h"
+#include "core/net/socket_address.h"
 
 namespace dotterellug {
 
@@ -16,6 +18,20 @@
   kUsage = 2,   // wrong command line or unreadable files
 };
 
+// Opens the deployment that the options name.
+using OpenDeployment = std::function<Result<Deployment>(const Options&)>;
+
+// Fetches a path from a daemon's admin endpoint.
+using FetchStatus =
+    std::function<Result<std::string>(const SocketAddress&, Duration)>;
+
+// What commands reach outside of the process; tests pass their own.
+struct Outside {
+  OpenDeployment open_deployment;
+  FetchStatus fetch_status;
+  std::function<void(Duration)> pause;
+};
+
 // One call of a command. Results go to `out`, failures and progress to `err`,
 // so that `out` can be passed on to another program.
 struct Invocation {
@@ -23,6 +39,7 @@
   std::vector<std::string> arguments;
   std::ostream& out;
   std::ostream& err;
+  Outside outside;
 };
 
 using CommandFunction = ExitCode (*)(const Invocation& invocation);
--- a/client/commands/command_table.cc
+++ b/client/commands/command_table.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <sstream>
 
 #include "client/commands/file_commands.h"
+#include "client/commands/key_commands.h"
+#include "client/commands/section_commands.h"
+#include "client/commands/wait_command.h"
+#include "client/commands/zone_commands.h"
 
 namespace dotterellug {
 
@@ -66,6 +69,10 @@
 auto AllCommands() -> const std::vector<Command>& {
   static const std::vector<Command> commands = [] {
     auto all = FileCommands();
+    for (auto& command : SectionCommands()) all.push_back(std::move(command));
+    for (auto& command : KeyCommands()) all.push_back(std::move(command));
+    for (auto& command : ZoneCommands()) all.push_back(std::move(command));
+    all.push_back(WaitCommand());
     all.push_back({"completion",
                    "bash",
                    "print a shell completion script",
--- a/client/commands/run_command.cc
+++ b/client/commands/run_command.cc
@@ -1,8 +1,10 @@
 #include "client/commands/run_command.h"
 
 #include <algorithm>
+#include <thread>
 
 #include "client/commands/command_table.h"
+#include "client/platform/http_get.h"
 
 namespace dotterellug {
 
@@ -20,10 +22,40 @@
   return unused.empty() ? "" : unused.front();
 }
 
+void Sleep(Duration duration) { std::this_thread::sleep_for(duration); }
+
+auto OpenHttpDeployment(const Options& options) -> Result<Deployment> {
+  const auto address = ParseSocketAddress(options.object_api);
+  if (!address) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "the address of the object API is \"" + options.object_api +
+                    "\", " + address.error().message,
+                "set --object-api or DOTTERELLUG_OBJECT_API to an address such "
+                "as 127.0.0.1:20001");
+  }
+  HttpObjectStoreSettings settings;
+  settings.host = address->host;
+  settings.port = address->port;
+  RetryPolicy retry;
+  retry.timeout = options.timeout;
+  retry.pause = Sleep;
+  return Deployment(ObjectStore(HttpObjectStore(settings)), retry);
+}
+
+auto FetchHttpStatus(const SocketAddress& address, Duration timeout)
+    -> Result<std::string> {
+  return HttpGet(address, "/status", timeout);
+}
+
 }  // namespace
 
+auto HttpOutside() -> Outside {
+  return Outside{OpenHttpDeployment, FetchHttpStatus, Sleep};
+}
+
 auto RunCommand(const std::vector<std::string>& words, bool help,
-                std::ostream& out, std::ostream& err) -> ExitCode {
+                std::ostream& out, std::ostream& err, const Outside& outside)
+    -> ExitCode {
   const auto* command = FindCommand(words);
   if (command == nullptr) {
     if (help) {
@@ -41,7 +73,7 @@
     out << CommandHelp(*command);
     return ExitCode::kDone;
   }
-  Invocation invocation{ReadOptions(), {}, out, err};
+  Invocation invocation{ReadOptions(), {}, out, err, outside};
   invocation.arguments.assign(words.begin() + WordCount(*command), words.end());
   const auto count = invocation.arguments.size();
   if (count < command->min_arguments || count > command->max_arguments) {
--- a/client/main.cc
+++ b/client/main.cc
@@ -27,7 +27,7 @@
   GFLAGS_NAMESPACE::gflags_exitfunc = ExitAfterWrongFlag;
   gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
   const std::vector<std::string> words(argv + 1, argv + argc);
-  const auto code =
-      dotterellug::RunCommand(words, FLAGS_help, std::cout, std::cerr);
+  const auto code = dotterellug::RunCommand(
+      words, FLAGS_help, std::cout, std::cerr, dotterellug::HttpOutside());
   return static_cast<int>(code);
 }
--- a/client/options/options.h
+++ b/client/options/options.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "client/output/table.h"
+#include "core/time/time.h"
 
 namespace dotterellug {
 
@@ -14,6 +16,19 @@
   bool settings = false;
   std::string account;
   std::string digest_key_file;
+  std::string key_file;
+  // Address of the object API, as text.
+  std::string object_api;
+  std::string author;
+  std::string reason;
+  std::string edit_id;
+  // Admin addresses of daemons, separated by commas.
+  std::string daemons;
+  // Revision number; -1 when not given.
+  std::int64_t revision = -1;
+  std::int64_t base = -1;
+  std::int64_t limit = 20;
+  Duration timeout = std::chrono::seconds(30);
 };
 
 // Reads the gflags of the command line. Wrong values are reported on standard
--- a/client/tests/file_commands_tests.cc
+++ b/client/tests/file_commands_tests.cc
@@ -9,33 +9,12 @@
 
 #include "client/commands/command_table.h"
 #include "client/commands/file_commands.h"
+#include "client/tests/run_named.h"
 #include "document/document.h"
 
 namespace dotterellug {
 namespace {
 
-struct Outcome {
-  ExitCode code;
-  std::string out;
-  std::string err;
-};
-
-auto RunNamed(const std::string& name, std::vector<std::string> arguments,
-              Options options = {}) -> Outcome {
-  const auto* command = FindCommand(
-      {name.substr(0, name.find(' ')), name.substr(name.find(' ') + 1)});
-  std::ostringstream out;
-  std::ostringstream err;
-  const Invocation invocation{std::move(options), std::move(arguments), out,
-                              err};
-  const auto code = command->run(invocation);
-  return {code, out.str(), err.str()};
-}
-
-auto Example(const std::string& name) -> std::string {
-  return std::string(DOTTERELLUG_SOURCE_DIR) + "/examples/" + name;
-}
-
 // A folder with a copy of an example that a test may change.
 class ExampleCopy {
  public:
--- a/modules/document/keys/caller_key_text.cc
+++ b/modules/document/keys/caller_key_text.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include "document/sections/section_rules.h"
 
@@ -72,14 +73,23 @@
 
 auto IssueKey(const ClientAccountId& account, const KeyMaterial& material,
               const DigestKey& digest_key) -> IssuedKey {
-  const auto secret = Hex(material.secret);
-  IssuedKey issued;
-  issued.entry.id = KeyId(Hex(material.id));
-  issued.entry.account = account;
-  issued.entry.salt = Hex(material.salt);
-  issued.entry.digest = Hex(DigestSecret(secret, material.salt, digest_key));
-  issued.text = std::string(kPrefix) + issued.entry.id.Value() + "_" + secret;
-  return issued;
+  auto text =
+      std::string(kPrefix) + Hex(material.id) + "_" + Hex(material.secret);
+  auto entry = EntryForKey(account, text, material.salt, digest_key);
+  return IssuedKey{entry.value_or(CallerKey{}), std::move(text)};
+}
+
+auto EntryForKey(const ClientAccountId& account, std::string_view text,
+                 const std::array<unsigned char, kKeySaltBytes>& salt,
+                 const DigestKey& digest_key) -> std::optional<CallerKey> {
+  const auto parts = ParseCallerKey(text);
+  if (!parts) return std::nullopt;
+  CallerKey entry;
+  entry.id = parts->id;
+  entry.account = account;
+  entry.salt = Hex(salt);
+  entry.digest = Hex(DigestSecret(parts->secret, salt, digest_key));
+  return entry;
 }
 
 auto DigestSecret(std::string_view secret,
--- a/modules/document/keys/caller_key_text.h
+++ b/modules/document/keys/caller_key_text.h
@@ -49,6 +49,12 @@
 auto IssueKey(const ClientAccountId& account, const KeyMaterial& material,
               const DigestKey& digest_key) -> IssuedKey;
 
+// The entry for a key whose text exists already, for repeating an attempt to
+// issue it; nothing when the text is malformed.
+auto EntryForKey(const ClientAccountId& account, std::string_view text,
+                 const std::array<unsigned char, kKeySaltBytes>& salt,
+                 const DigestKey& digest_key) -> std::optional<CallerKey>;
+
 // Keyed BLAKE2b of the secret's text with the salt.
 auto DigestSecret(std::string_view secret,
                   const std::array<unsigned char, kKeySaltBytes>& salt,
--- a/modules/revision/revision.h
+++ b/modules/revision/revision.h
@@ -2,10 +2,11 @@
 
 // Revisions of the serving document in the object store: commit of edits with
 // conditional update of one head object, history and rollback, and following of
-// the head by daemons. A section is opaque text here; the caller passes the
-// function that validates the whole document.
-// Needs: core, store, libsodium, nlohmann-json.
+// the head by daemons. A section is opaque text except in bridge/; the caller
+// passes the function that validates the whole document. Needs: core, store,
+// document, libsodium, nlohmann-json.
 
+#include "revision/bridge/document_bridge.h"
 #include "revision/commit/edit.h"
 #include "revision/commit/revision_repository.h"
 #include "revision/content/content_digest.h"
