--- a/modules/budget/tests/budget_fleet.h
+++ b/modules/budget/tests/budget_fleet.h
@@ -253,7 +253,8 @@
                      },
                      [&](const WriteObject& write) {
                        if (RegistrationIsLate(self)) return;
-                       store_.Write(write, [this, self](WriteOutcome outcome) {
+                       store_.Write(write, [this, self](WriteOutcome outcome,
+                                                        ObjectVersion) {
                          Deliver(self, [this, outcome](Process& process) {
                            return process.shard->OnWrite(outcome,
                                                          Clock(process));
--- a/modules/ownership/tests/ownership_tests.cc
+++ b/modules/ownership/tests/ownership_tests.cc
@@ -220,7 +220,8 @@
                                    });
                      },
                      [&](const WriteObject& write) {
-                       store_.Write(write, [this, self](WriteOutcome outcome) {
+                       store_.Write(write, [this, self](WriteOutcome outcome,
+                                                        ObjectVersion) {
                          Deliver(self, [outcome](ShardAgent& agent) {
                            return agent.OnWrite(outcome);
                          });
--- a/modules/ownership/tests/simulation.h
+++ b/modules/ownership/tests/simulation.h
@@ -59,8 +59,9 @@
 };
 
 // The object API as the protocols see it: conditional updates, responses lost
-// after the call took effect, and outages. `checks_versions` off removes the
-// condition, for tests that show that the condition is needed.
+// after the call took effect, outages and stale reads. `checks_versions` off
+// removes the condition for objects whose name starts with `unchecked_prefix`,
+// for tests that show that the condition is needed.
 class SimulatedStore {
  public:
   SimulatedStore(SimulatedNetwork* network, Random* random)
@@ -68,20 +69,28 @@
 
   bool available = true;
   bool checks_versions = true;
+  std::string unchecked_prefix;
 
   auto Read(const std::string& name,
             const std::function<void(ObjectRecord)>& reply) -> void {
     network_->Send([this, name, reply] {
       if (!available) return;
       auto object = Get(name);
+      const auto stale = previous_.find(name);
+      if (stale != previous_.end() && random_->Below(10) == 0) {
+        object = stale->second;
+        object.name = name;
+      }
       network_->Send([reply, object] { reply(object); });
     });
   }
   auto Write(const WriteObject& write,
-             const std::function<void(WriteOutcome)>& reply) -> void {
+             const std::function<void(WriteOutcome, ObjectVersion)>& reply)
+      -> void {
     network_->Send([this, write, reply] {
       const auto outcome = Apply(write);
-      network_->Send([reply, outcome] { reply(outcome); });
+      const auto version = Get(write.name).version;
+      network_->Send([reply, outcome, version] { reply(outcome, version); });
     });
   }
   auto Get(const std::string& name) const -> ObjectRecord {
@@ -94,9 +103,12 @@
   auto Apply(const WriteObject& write) -> WriteOutcome {
     if (!available) return WriteOutcome::kNotDone;
     auto& object = objects_[write.name];
-    if (checks_versions && object.version != write.expected) {
+    const bool checked =
+        checks_versions || write.name.rfind(unchecked_prefix, 0) != 0;
+    if (checked && object.version != write.expected) {
       return WriteOutcome::kConflict;
     }
+    previous_[write.name] = object;
     object = {write.name, object.version.Next(), write.value};
     return random_->Below(8) == 0 ? WriteOutcome::kUnknown
                                   : WriteOutcome::kDone;
@@ -105,6 +117,7 @@
   SimulatedNetwork* network_;
   Random* random_;
   std::map<std::string, ObjectRecord> objects_;
+  std::map<std::string, ObjectRecord> previous_;
 };
 
 }  // namespace dotterellug::testing
