Tune the planner and add its measurements

Cause: the planner stood still when memory does not hold all models, and moved models when all engines were busy.

Change: models take turns when memory is short; the load limit is 0.85 instead of 0.7; removing a copy costs the choice that routing loses. Add the experiment against static, peak and least-recently-used placement, and the plan-time benchmark.

--- /dev/null
+++ b/modules/placement/benchmarks/placement_experiment.cc
@@ -0,0 +1,181 @@
+// Compares the planner with static placement, least-recently-used swapping and
+// replication by peak in one run. Prints CSV with medians over the seeds.
+// Usage: placement_experiment [SEEDS [short]]; short runs a part, for trials.
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "placement/benchmarks/policies.h"
+
+namespace dotterellug {
+namespace {
+
+struct Scenario {
+  std::string name;
+  double zone_leaves_at = -1;
+  double zone_returns_at = -1;
+  int unloaded_model = -1;
+};
+
+auto Median(std::vector<double> values) -> double {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+auto RunPolicy(const std::string& name, const SimulationOptions& options,
+               const Workload& workload) -> SimulationResult {
+  if (name == "planner") {
+    PlannerPolicy planner((PlannerOptions()));
+    return Simulation(options, workload, planner.policy).Run();
+  }
+  auto policy = name == "static" ? StaticPolicy()
+                : name == "peak" ? PeakPolicy()
+                : name == "lru"  ? LeastRecentlyUsedPolicy()
+                                 : UnlimitedPolicy();
+  return Simulation(options, workload, policy).Run();
+}
+
+// Attained requests between two times as a fraction of `best`'s.
+auto Ratio(const SimulationResult& result, const SimulationResult& best,
+           int from, int to) -> double {
+  double ours = 0;
+  double theirs = 0;
+  for (int second = from; second < to; ++second) {
+    ours += result.attained_by_second[second];
+    theirs += best.attained_by_second[second];
+  }
+  return theirs > 0 ? ours / theirs : 1;
+}
+
+struct Columns {
+  std::vector<double> attained;
+  std::vector<double> worst;
+  std::vector<double> moves;
+  std::vector<double> first_answer;
+  std::vector<double> leaving;
+  std::vector<double> returning;
+};
+
+void Print(const Deployment& deployment, const Scenario& scenario,
+           std::int64_t memory, double load, const std::string& policy,
+           const Columns& columns) {
+  std::printf("%s,%s,%lld,%.2f,%s,%.4f,%.4f,%.0f,%.2f,%.4f,%.4f\n",
+              deployment.name.c_str(), scenario.name.c_str(),
+              static_cast<long long>(memory), load, policy.c_str(),
+              Median(columns.attained), Median(columns.worst),
+              Median(columns.moves), Median(columns.first_answer),
+              Median(columns.leaving), Median(columns.returning));
+}
+
+const std::vector<std::string> kPolicies{"static", "peak", "lru", "planner",
+                                         "unlimited"};
+
+// Median attainment per policy.
+auto RunScenario(const Deployment& deployment, const Scenario& scenario,
+                 std::int64_t memory, double load, int seeds)
+    -> std::vector<double> {
+  std::vector<Columns> columns(kPolicies.size());
+  for (int seed = 1; seed <= seeds; ++seed) {
+    const Workload workload(deployment, load, static_cast<std::uint64_t>(seed));
+    SimulationOptions options{deployment,
+                              load,
+                              static_cast<std::uint64_t>(seed),
+                              memory,
+                              scenario.zone_leaves_at,
+                              scenario.zone_returns_at,
+                              scenario.unloaded_model,
+                              1200};
+    const auto best = RunPolicy("unlimited", options, workload);
+    for (std::size_t i = 0; i < kPolicies.size(); ++i) {
+      const auto result = RunPolicy(kPolicies[i], options, workload);
+      columns[i].attained.push_back(result.attained);
+      columns[i].worst.push_back(result.worst_account);
+      columns[i].moves.push_back(result.moves);
+      columns[i].first_answer.push_back(result.first_answer);
+      const bool zone = scenario.zone_leaves_at > 0;
+      columns[i].leaving.push_back(zone ? Ratio(result, best, 1230, 1800) : 1);
+      columns[i].returning.push_back(zone ? Ratio(result, best, 1830, 2400)
+                                          : 1);
+    }
+  }
+  std::vector<double> attained;
+  for (std::size_t i = 0; i < kPolicies.size(); ++i) {
+    Print(deployment, scenario, memory, load, kPolicies[i], columns[i]);
+    attained.push_back(Median(columns[i].attained));
+  }
+  return attained;
+}
+
+// The load up to which a policy attains `goal`, by linear interpolation between
+// the measured loads; requests attained per second and accelerator follow.
+void PrintCapacity(const Deployment& deployment, std::int64_t memory,
+                   const std::vector<double>& loads,
+                   const std::vector<std::vector<double>>& attained,
+                   double goal) {
+  for (std::size_t policy = 0; policy < kPolicies.size(); ++policy) {
+    double capacity = 0;
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+      if (attained[i][policy] >= goal) {
+        capacity = loads[i];
+        continue;
+      }
+      if (i > 0) {
+        const auto drop = attained[i - 1][policy] - attained[i][policy];
+        capacity +=
+            (loads[i] - loads[i - 1]) * (attained[i - 1][policy] - goal) / drop;
+      }
+      break;
+    }
+    std::printf("%s,capacity_at_%.2f,%lld,%.3f,%s,%.4f,,,,,\n",
+                deployment.name.c_str(), goal, static_cast<long long>(memory),
+                capacity, kPolicies[policy].c_str(),
+                capacity * kEngines * kSlots / kMeanService /
+                    (kEngines * kAcceleratorsPerEngine));
+  }
+}
+
+}  // namespace
+}  // namespace dotterellug
+
+auto main(int argc, char** argv) -> int {
+  using namespace dotterellug;  // NOLINT(google-build-using-namespace)
+  const int seeds = argc > 1 ? std::atoi(argv[1]) : 5;
+  std::printf(
+      "# seeds 1..%d, medians; ratios are to unlimited memory on the "
+      "same arrivals, from 30 s after the change\n",
+      seeds);
+  std::printf(
+      "deployment,scenario,memory_gb,load,policy,attainment,worst_account,"
+      "moves,"
+      "first_answer_s,zone_away_ratio,zone_back_ratio\n");
+  std::vector<Deployment> deployments{{"chujio-hub", 18, 42, 1.6},
+                                      {"kestrelfield", 17, 58, 1.5}};
+  const std::vector<Scenario> scenarios{
+      {"moving", -1, -1, -1},
+      {"zone", 1200, 1800, -1},
+      {"unloaded", -1, -1, 10},
+  };
+  std::vector<double> loads{0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9};
+  const std::vector<std::int64_t> memories{96, 110, 160};
+  if (argc > 2) {
+    deployments.resize(1);
+    loads = {0.3, 0.5, 0.7};
+  }
+  for (const auto& deployment : deployments) {
+    for (const auto memory : memories) {
+      std::vector<std::vector<double>> attained;
+      attained.reserve(loads.size());
+      for (const auto load : loads) {
+        attained.push_back(
+            RunScenario(deployment, scenarios[0], memory, load, seeds));
+      }
+      PrintCapacity(deployment, memory, loads, attained, 0.95);
+      PrintCapacity(deployment, memory, loads, attained, 0.99);
+      RunScenario(deployment, scenarios[1], memory, 0.5, seeds);
+      RunScenario(deployment, scenarios[2], memory, 0.5, seeds);
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/modules/placement/benchmarks/plan_time.cc
@@ -0,0 +1,124 @@
+// Measures the time and memory of plans at growing fleet sizes: the first plan
+// on an empty fleet, and incremental plans while demand moves. Prints CSV, one
+// size per process, so that the memory is that of the size.
+// Usage: plan_time MODELS ENGINES PLANS
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "core/random/random.h"
+#include "placement/placement.h"
+
+namespace dotterellug {
+namespace {
+
+// Largest resident memory of this process so far, in MB.
+auto PeakMegabytes() -> double {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_maxrss) / 1024;
+}
+
+auto Percentile(std::vector<double> values, double part) -> double {
+  std::sort(values.begin(), values.end());
+  const auto last = static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(part * last)];
+}
+
+auto MakeInput(int models, int engines, Random& random) -> PlanInput {
+  PlanInput input;
+  for (int i = 0; i < models; ++i) {
+    const auto weight = static_cast<std::int64_t>(14 + random.Below(30));
+    const auto demand = 0.4 * engines / models * std::pow(10, random.Uniform());
+    input.models.push_back({ModelId("model-" + std::to_string(i)), "1",
+                            Bytes(weight), Bytes(20), 1, demand / 4});
+  }
+  for (int i = 0; i < engines; ++i) {
+    input.engines.push_back({UpstreamId("engine-" + std::to_string(i)),
+                             AvailabilityZoneId(std::to_string(i % 12)),
+                             Bytes(160),
+                             true,
+                             {}});
+  }
+  for (int i = 0; i < 2 * models; ++i) {
+    const auto base = random.Below(static_cast<std::uint64_t>(models));
+    input.adapters.push_back({AdapterId("adapter-" + std::to_string(i)),
+                              ModelId("model-" + std::to_string(base)),
+                              Bytes(1), 0.01});
+  }
+  return input;
+}
+
+void Apply(const PlanResult& result, PlanInput& input) {
+  for (auto& engine : input.engines) {
+    const auto changed = result.changed.find(engine.id);
+    if (changed == result.changed.end()) continue;
+    engine.held.clear();
+    for (const auto& item : changed->second.items) {
+      engine.held.push_back({item.key, true});
+    }
+  }
+}
+
+// A tenth of the models move their demand by up to ten times.
+void MoveDemand(PlanInput& input, int engines, Random& random) {
+  const auto models = static_cast<double>(input.models.size());
+  for (auto& model : input.models) {
+    if (random.Uniform() > 0.1) continue;
+    model.demand = 0.1 * engines / models * std::pow(10, random.Uniform());
+  }
+}
+
+void Measure(int models, int engines, int plans) {
+  Random random(1);
+  auto input = MakeInput(models, engines, random);
+  PlannerOptions options;
+  // At this size the weight stores of three regions load more at once.
+  options.max_pending = 200;
+  Planner planner(options);
+  auto now = Timestamp(std::chrono::seconds(1000));
+  std::vector<double> times;
+  std::int64_t loads = 0;
+  double first = 0;
+  for (int plan = 0; plan < plans; ++plan) {
+    const auto begin = std::chrono::steady_clock::now();
+    const auto result = planner.Plan(now, input);
+    const std::chrono::duration<double> took =
+        std::chrono::steady_clock::now() - begin;
+    if (plan == 0) {
+      first = took.count();
+    } else {
+      times.push_back(took.count());
+      loads += result.loads_started;
+    }
+    Apply(result, input);
+    now += std::chrono::seconds(10);
+    MoveDemand(input, engines, random);
+  }
+  std::printf("%d,%d,%.4f,%.4f,%.4f,%.1f,%.1f\n", models, engines, first,
+              Percentile(times, 0.5), Percentile(times, 1),
+              static_cast<double>(loads) / (plans - 1), PeakMegabytes());
+}
+
+}  // namespace
+}  // namespace dotterellug
+
+auto main(int argc, char** argv) -> int {
+  if (argc != 4) {
+    std::fprintf(stderr, "usage: plan_time MODELS ENGINES PLANS\n");
+    return 2;
+  }
+  std::printf(
+      "models,engines,first_plan_s,median_plan_s,longest_plan_s,"
+      "loads_per_plan,peak_process_mb\n");
+  dotterellug::Measure(std::atoi(argv[1]), std::atoi(argv[2]),
+                       std::atoi(argv[3]));
+  return 0;
+}
--- /dev/null
+++ b/modules/placement/benchmarks/simulated_fleet.h
@@ -0,0 +1,402 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/random/random.h"
+#include "placement/placement.h"
+
+// An event list of request arrivals and control steps with injected time, for
+// comparing placement policies. It is no model of engines: each engine serves
+// `kSlots` requests at once, each for an exponential time, in order of arrival.
+namespace dotterellug {
+
+struct Deployment {
+  std::string name;
+  int models = 18;
+  int adapters = 42;
+  double weight_loads_per_second = 1.6;
+};
+
+inline constexpr int kEngines = 9;
+inline constexpr int kZones = 4;
+inline constexpr int kAccounts = 5;
+inline constexpr int kAcceleratorsPerEngine = 8;
+inline constexpr int kSlots = 8;
+inline constexpr double kMeanService = 1.6;
+inline constexpr int kSeconds = 3600;
+inline constexpr int kWeightLoadsAtOnce = 5;
+inline constexpr std::int64_t kKvMemory = 20;  // GB
+
+struct Request {
+  double at = 0;
+  int model = 0;
+  int account = 0;
+  double deadline = 0;
+  double service = 0;
+};
+
+// What callers ask for in one hour: the demand of each model moves between 1
+// and 10 times its base with a new target every 10 minutes.
+class Workload {
+ public:
+  Workload(const Deployment& deployment, double load, std::uint64_t seed)
+      : random_(seed) {
+    const std::array<std::int64_t, 6> sizes{14, 16, 26, 30, 40, 70};
+    for (int model = 0; model < deployment.models; ++model) {
+      weights.push_back(sizes[random_.Below(sizes.size())]);
+      base_.push_back(1 / std::pow(model + 1, 0.9));
+      std::vector<double> knots;
+      for (int knot = 0; knot <= kSeconds / kKnot + 1; ++knot) {
+        knots.push_back(std::pow(10, random_.Uniform()));
+      }
+      knots_.push_back(std::move(knots));
+    }
+    double sum = 0;
+    for (int second = 0; second < kSeconds; ++second) {
+      for (int model = 0; model < deployment.models; ++model) {
+        sum += Raw(model, second);
+      }
+    }
+    const auto requests = load * kEngines * kSlots / kMeanService * kSeconds;
+    scale_ = requests / sum;
+    Generate(deployment);
+  }
+
+  // Requests per second.
+  auto Rate(int model, int second) const -> double {
+    return scale_ * Raw(model, second);
+  }
+  auto Mean(int model) const -> double {
+    double sum = 0;
+    for (int second = 0; second < kSeconds; ++second) {
+      sum += Rate(model, second);
+    }
+    return sum / kSeconds;
+  }
+  auto Peak(int model) const -> double {
+    double peak = 0;
+    for (int second = 0; second < kSeconds; ++second) {
+      peak = std::max(peak, Rate(model, second));
+    }
+    return peak;
+  }
+
+  std::vector<std::int64_t> weights;  // GB
+  std::vector<Request> requests;
+
+ private:
+  static constexpr int kKnot = 600;
+
+  auto Raw(int model, int second) const -> double {
+    const auto knot = second / kKnot;
+    const auto part = static_cast<double>(second % kKnot) / kKnot;
+    // The multiplier moves within two minutes and then stays.
+    const auto moved = std::min(1.0, part * kKnot / 120);
+    const auto from = std::log(knots_[model][knot]);
+    const auto to = std::log(knots_[model][knot + 1]);
+    return base_[model] * std::exp(from + (to - from) * moved);
+  }
+
+  void Generate(const Deployment& deployment) {
+    // A few large accounts, each with its own preference among the models.
+    const std::array<double, kAccounts> sizes{0.5, 0.25, 0.12, 0.08, 0.05};
+    std::vector<std::vector<double>> parts;
+    for (int model = 0; model < deployment.models; ++model) {
+      std::vector<double> part;
+      part.reserve(sizes.size());
+      for (const auto size : sizes) {
+        part.push_back(size * (0.2 + random_.Uniform()));
+      }
+      parts.push_back(std::move(part));
+    }
+    for (int second = 0; second < kSeconds; ++second) {
+      for (int model = 0; model < deployment.models; ++model) {
+        const auto rate = Rate(model, second);
+        double at = random_.Exponential(1 / rate);
+        while (at < 1) {
+          requests.push_back(Draw(model, second + at, parts[model]));
+          at += random_.Exponential(1 / rate);
+        }
+      }
+    }
+    std::sort(requests.begin(), requests.end(),
+              [](const auto& a, const auto& b) { return a.at < b.at; });
+  }
+
+  auto Draw(int model, double at, const std::vector<double>& parts) -> Request {
+    Request request{at, model, 0, 0, random_.Exponential(kMeanService)};
+    const auto kind = random_.Uniform();
+    request.deadline = kind < 0.6 ? 1 : (kind < 0.9 ? 5 : 60);
+    double sum = 0;
+    for (const auto part : parts) sum += part;
+    auto draw = random_.Uniform() * sum;
+    while (request.account < kAccounts - 1 && draw >= parts[request.account]) {
+      draw -= parts[request.account++];
+    }
+    return request;
+  }
+
+  Random random_;
+  double scale_ = 1;
+  std::vector<double> base_;
+  std::vector<std::vector<double>> knots_;
+};
+
+struct SimulatedCopy {
+  int model = 0;
+  bool resident = false;
+  double last_used = 0;
+};
+
+struct SimulatedEngine {
+  int zone = 0;
+  bool up = true;
+  std::vector<SimulatedCopy> copies;
+  std::array<double, kSlots> busy_until{};
+
+  auto Find(int model) -> SimulatedCopy* {
+    for (auto& copy : copies) {
+      if (copy.model == model) return &copy;
+    }
+    return nullptr;
+  }
+  auto Start(double now) const -> double {
+    return std::max(now,
+                    *std::min_element(busy_until.begin(), busy_until.end()));
+  }
+};
+
+struct SimulationOptions {
+  Deployment deployment;
+  double load = 0.7;
+  std::uint64_t seed = 1;
+  std::int64_t engine_memory = 160;  // GB
+  // Zone 0 is gone in this period; its engines return with empty memory.
+  double zone_leaves_at = -1;
+  double zone_returns_at = -1;
+  // This model is not loaded and not asked for before the time given.
+  int unloaded_model = -1;
+  double unloaded_until = 0;
+};
+
+struct SimulationResult {
+  double attained = 0;
+  double worst_account = 0;
+  double moves = 0;
+  double first_answer = -1;
+  std::vector<double> offered_by_second = std::vector<double>(kSeconds);
+  std::vector<double> attained_by_second = std::vector<double>(kSeconds);
+};
+
+class Simulation;
+
+// Changes the placement; called once per simulated second, and for requests
+// that no copy can serve in time.
+class PlacementPolicy {
+ public:
+  std::function<void(Simulation&)> start;
+  std::function<void(Simulation&)> every_second;
+  std::function<void(Simulation&, int model)> on_miss;
+  bool unlimited_memory = false;
+};
+
+class Simulation {
+ public:
+  Simulation(SimulationOptions options, const Workload& workload,
+             PlacementPolicy& policy)
+      : options_(std::move(options)), workload_(workload), policy_(policy) {
+    engines.resize(kEngines);
+    for (int i = 0; i < kEngines; ++i) engines[i].zone = i % kZones;
+    waiting_.resize(workload.weights.size());
+  }
+
+  auto Run() -> SimulationResult {
+    policy_.start(*this);
+    std::size_t next = 0;
+    for (int second = 0; second < kSeconds; ++second) {
+      now = second;
+      ChangeZone();
+      FinishLoads(second);
+      for (auto& tokens : arrived) tokens = 0;
+      while (next < workload_.requests.size() &&
+             workload_.requests[next].at < second + 1) {
+        const auto& request = workload_.requests[next++];
+        FinishLoads(request.at);
+        now = request.at;
+        if (request.model == options_.unloaded_model &&
+            request.at < options_.unloaded_until) {
+          continue;
+        }
+        Arrive(request);
+      }
+      now = second + 1;
+      if (policy_.every_second) policy_.every_second(*this);
+    }
+    return Summary();
+  }
+
+  // Reserves memory and queues the load; the caller has made room.
+  void Load(int engine, int model, bool initial) {
+    engines[engine].copies.push_back({model, initial, now});
+    if (initial) return;
+    ++result_.moves;
+    queue_.push_back({engine, model});
+    StartLoads();
+  }
+  void Unload(int engine, int model) {
+    auto& copies = engines[engine].copies;
+    copies.erase(
+        std::remove_if(copies.begin(), copies.end(),
+                       [&](const auto& copy) { return copy.model == model; }),
+        copies.end());
+    queue_.erase(std::remove_if(queue_.begin(), queue_.end(),
+                                [&](const auto& load) {
+                                  return load.engine == engine &&
+                                         load.model == model;
+                                }),
+                 queue_.end());
+  }
+  auto FreeMemory(int engine) const -> std::int64_t {
+    auto free = options_.engine_memory - kKvMemory;
+    for (const auto& copy : engines[engine].copies) {
+      free -= workload_.weights[copy.model];
+    }
+    return free;
+  }
+  auto Traffic() const -> const Workload& { return workload_; }
+  auto Options() const -> const SimulationOptions& { return options_; }
+
+  double now = 0;
+  std::vector<SimulatedEngine> engines;
+  // Requests per model in the current second.
+  std::vector<double> arrived = std::vector<double>(64);
+
+ private:
+  struct PendingLoad {
+    int engine = 0;
+    int model = 0;
+  };
+
+  void ChangeZone() {
+    for (auto& engine : engines) {
+      if (engine.zone != 0) continue;
+      if (now == options_.zone_leaves_at) {
+        engine.up = false;
+        if (!policy_.unlimited_memory) {
+          for (auto& copy : engine.copies) copy.resident = false;
+        }
+      }
+      if (now == options_.zone_returns_at) {
+        engine.up = true;
+        engine.busy_until.fill(now);
+        // Static policies load their copies again.
+        const auto index = static_cast<int>(&engine - engines.data());
+        for (const auto& copy : engine.copies) {
+          if (!copy.resident) queue_.push_back({index, copy.model});
+        }
+        StartLoads();
+      }
+    }
+  }
+
+  void StartLoads() {
+    while (!queue_.empty() &&
+           static_cast<int>(running_.size()) < kWeightLoadsAtOnce) {
+      const auto load = queue_.front();
+      queue_.erase(queue_.begin());
+      const auto rate = options_.deployment.weight_loads_per_second;
+      const auto size = static_cast<double>(workload_.weights[load.model]) / 32;
+      running_.emplace(now + kWeightLoadsAtOnce / rate * size, load);
+    }
+  }
+
+  void FinishLoads(double until) {
+    while (!running_.empty() && running_.begin()->first <= until) {
+      now = running_.begin()->first;
+      const auto load = running_.begin()->second;
+      running_.erase(running_.begin());
+      auto& engine = engines[load.engine];
+      if (auto* copy = engine.Find(load.model); copy != nullptr && engine.up) {
+        copy->resident = true;
+        auto requests = std::move(waiting_[load.model]);
+        waiting_[load.model].clear();
+        for (const auto& request : requests) Arrive(request);
+      }
+      StartLoads();
+    }
+  }
+
+  void Arrive(const Request& request) {
+    const bool repeated = request.at < now;
+    if (!repeated) {
+      arrived[request.model] += 1;
+      ++offered_[request.account];
+      result_.offered_by_second[static_cast<int>(request.at)] += 1;
+    }
+    SimulatedEngine* best = nullptr;
+    for (auto& engine : engines) {
+      if (!engine.up) continue;
+      auto* copy = engine.Find(request.model);
+      const bool here =
+          policy_.unlimited_memory || (copy != nullptr && copy->resident);
+      if (!here) continue;
+      if (copy != nullptr) copy->last_used = now;
+      if (best == nullptr || engine.Start(now) < best->Start(now)) {
+        best = &engine;
+      }
+    }
+    if (best == nullptr) {
+      if (request.at + request.deadline > now) {
+        waiting_[request.model].push_back(request);
+      }
+      if (policy_.on_miss && !repeated) policy_.on_miss(*this, request.model);
+      return;
+    }
+    const auto start = best->Start(now);
+    if (start - request.at > request.deadline) {
+      if (policy_.on_miss && !repeated) policy_.on_miss(*this, request.model);
+      return;
+    }
+    *std::min_element(best->busy_until.begin(), best->busy_until.end()) =
+        start + request.service;
+    ++attained_[request.account];
+    result_.attained_by_second[static_cast<int>(request.at)] += 1;
+    if (request.model == options_.unloaded_model && result_.first_answer < 0) {
+      result_.first_answer = start - request.at;
+    }
+  }
+
+  auto Summary() -> SimulationResult {
+    double offered = 0;
+    double attained = 0;
+    result_.worst_account = 1;
+    for (int account = 0; account < kAccounts; ++account) {
+      offered += offered_[account];
+      attained += attained_[account];
+      result_.worst_account = std::min(result_.worst_account,
+                                       attained_[account] / offered_[account]);
+    }
+    result_.attained = attained / offered;
+    return result_;
+  }
+
+  SimulationOptions options_;
+  const Workload& workload_;
+  PlacementPolicy& policy_;
+  std::vector<std::vector<Request>> waiting_;
+  std::vector<PendingLoad> queue_;
+  std::multimap<double, PendingLoad> running_;
+  std::array<double, kAccounts> offered_{};
+  std::array<double, kAccounts> attained_{};
+  SimulationResult result_;
+};
+
+}  // namespace dotterellug
--- a/modules/placement/planner/plan_work.cc
+++ b/modules/placement/planner/plan_work.cc
@@ -236,8 +236,11 @@
     if (host == engine) continue;
     spare += std::max(0.0, options_.utilisation_limit - engines[host].load);
   }
+  // Bursts spread over the remaining copies only.
+  const auto choice = options_.flexibility * model.input->demand /
+                      static_cast<double>(hosts * (hosts - 1));
   // The small part prefers copies that serve little when none is missed.
-  return std::max(0.0, copy.share - spare) + 0.02 * copy.share;
+  return std::max(0.0, copy.share - spare) + 0.02 * copy.share + choice;
 }
 
 }  // namespace dotterellug
--- a/modules/placement/planner/plan_work.h
+++ b/modules/placement/planner/plan_work.h
@@ -13,7 +13,10 @@
 
 struct PlannerOptions {
   // Load up to which an engine is planned; the rest absorbs bursts.
-  double utilisation_limit = 0.7;
+  double utilisation_limit = 0.85;
+  // Weight of the choice that routing loses with a copy, in parts of the
+  // model's demand.
+  double flexibility = 0.1;
   // A move has to pay within this time.
   Duration horizon = std::chrono::seconds(300);
   // Engine-seconds that a move costs: loading, its part of the weight store's
@@ -26,6 +29,9 @@
   Duration min_residence = std::chrono::seconds(60);
   // A load that takes longer no longer counts as reaching its model.
   Duration load_patience = std::chrono::seconds(20);
+  // Least time between load and replacement when memory does not hold all
+  // models.
+  Duration turn = std::chrono::seconds(30);
   // Loads that may be outstanding; more would be decided on old demand.
   std::int64_t max_pending = 10;
   std::int64_t max_fills_per_plan = 2;
--- a/modules/placement/planner/planner.cc
+++ b/modules/placement/planner/planner.cc
@@ -70,7 +70,7 @@
   work.SplitLoads();
   if (input.store_available) {
     CancelUnneeded(work, result);
-    PlaceMissing(input, work, result);
+    PlaceMissing(now, work, result);
     RollVersions(work);
     work.SplitLoads();
     RelieveOverload(work);
@@ -160,8 +160,7 @@
   }
 }
 
-void Planner::PlaceMissing(const PlanInput& input, PlanWork& work,
-                           PlanResult& result) {
+void Planner::PlaceMissing(Timestamp now, PlanWork& work, PlanResult& result) {
   for (const auto model : ByDemand(work)) {
     const auto& wanted = *work.models[model].input;
     const bool needed =
@@ -171,7 +170,7 @@
     if (work.Served(model, false)) continue;
     if (PlaceOne(model, work)) continue;
     if (Repack(model, work)) continue;
-    if (ReplaceIdle(model, work)) continue;
+    if (TakeTurn(now, model, work)) continue;
     ++result.unplaced_models;
   }
   for (const auto model : ByDemand(work)) {
@@ -233,25 +232,38 @@
   return false;
 }
 
-// Memory does not hold all models: one with demand replaces one without, which
-// is loaded again when it is asked for.
-auto Planner::ReplaceIdle(std::int32_t model, PlanWork& work) -> bool {
-  if (work.models[model].input->demand < options_.idle_demand) return false;
+// Memory does not hold all models: they take turns. The model replaces the copy
+// with least demand that had its turn; a copy with more demand stays longer.
+auto Planner::TakeTurn(Timestamp now, std::int32_t model, PlanWork& work)
+    -> bool {
+  const auto demand = work.models[model].input->demand;
+  if (demand < options_.idle_demand) return false;
+  std::int32_t best = -1;
+  std::size_t best_copy = 0;
+  double least = 0;
   for (std::size_t i = 0; i < work.engines.size(); ++i) {
     const auto engine = static_cast<std::int32_t>(i);
     if (!work.engines[i].input->usable) continue;
     const auto lacking = -work.RoomAfter(engine, model);
     for (std::size_t c = 0; c < work.engines[i].copies.size(); ++c) {
-      const auto& idle = *work.models[work.engines[i].copies[c].model].input;
-      if (idle.demand >= options_.idle_demand) continue;
-      if (idle.weight_bytes.Value() < lacking) continue;
-      work.RemoveCopy(engine, c);
-      work.AddCopy(engine, model, false);
-      ++added_;
-      return true;
+      const auto& copy = work.engines[i].copies[c];
+      const auto& other = *work.models[copy.model].input;
+      if (other.weight_bytes.Value() < lacking) continue;
+      const auto turn =
+          other.demand < demand ? options_.turn : 4 * options_.turn;
+      const bool idle = other.demand < options_.idle_demand;
+      if (!idle && now - copy.placed_at < turn) continue;
+      if (best >= 0 && other.demand >= least) continue;
+      best = engine;
+      best_copy = c;
+      least = other.demand;
     }
   }
-  return false;
+  if (best < 0) return false;
+  work.RemoveCopy(best, best_copy);
+  work.AddCopy(best, model, false);
+  ++added_;
+  return true;
 }
 
 void Planner::RollVersions(PlanWork& work) {
--- a/modules/placement/planner/planner.h
+++ b/modules/placement/planner/planner.h
@@ -44,10 +44,10 @@
                            const EnginePlan& plan, WorkEngine& engine);
   void FirstPlan(Timestamp now, const PlannerEngine& engine,
                  EnginePlan& plan) const;
-  void PlaceMissing(const PlanInput& input, PlanWork& work, PlanResult& result);
+  void PlaceMissing(Timestamp now, PlanWork& work, PlanResult& result);
   auto PlaceOne(std::int32_t model, PlanWork& work) -> bool;
   auto Repack(std::int32_t model, PlanWork& work) -> bool;
-  auto ReplaceIdle(std::int32_t model, PlanWork& work) -> bool;
+  auto TakeTurn(Timestamp now, std::int32_t model, PlanWork& work) -> bool;
   void RollVersions(PlanWork& work);
   void RollModel(std::int32_t model, PlanWork& work);
   void CancelUnneeded(PlanWork& work, PlanResult& result);
