Read placement records before targets are set

Cause: no engine ever got a load command: the service plans only when it knows every record, and the command log read records only of engines that had a target. Change: the log reads the record of each live engine first.

--- a/modules/placement/commands/command_log.cc
+++ b/modules/placement/commands/command_log.cc
@@ -139,8 +139,11 @@
   if (fenced_out_) return actions;
   std::vector<LoadCandidate> candidates;
   for (auto& [id, engine] : engines_) {
-    if (engine.settled || !engine.facts.live || !engine.has_target) continue;
+    if (engine.settled || !engine.facts.live) continue;
+    // A planner needs the records before it can set the first targets.
+    if (!engine.has_target && engine.record) continue;
     StepStore(now, lease, engine, actions);
+    if (!engine.has_target) continue;
     StepItems(now, lease, engine, actions, candidates);
     engine.settled = IsSettled(engine);
   }
--- a/modules/placement/tests/command_log_tests.cc
+++ b/modules/placement/tests/command_log_tests.cc
@@ -147,6 +147,21 @@
 
 const ItemKey kFirst{ModelId("first"), "1", AdapterId()};
 
+// Guards against an owner that never starts: the planner waits for the records
+// and the log waited for the planner's targets before it read them.
+TEST(CommandLogTest, ReadsRecordsBeforeTargetsAreSet) {
+  const Timestamp now{std::chrono::seconds(100)};
+  const OwnerLease lease{Term(1), now + std::chrono::seconds(5)};
+  CommandLog log(Term(1), now, {});
+  log.SetEngine({UpstreamId("e"), Bytes(100), true, true});
+  const auto actions = log.Step(now, lease);
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<ReadRecord>(actions[0]));
+  log.Handle(now, RecordRead{UpstreamId("e"), ObjectVersion(0), {}});
+  EXPECT_NE(log.Record(UpstreamId("e")), nullptr);
+  EXPECT_TRUE(log.Step(now, lease).empty());
+}
+
 // Guards against the trace in docs/decisions/0302: a load is late, an unload
 // sent after it is confirmed, and the load arrives after the release. On
 // engines that ignore fencing the unload has to wait for the load's lifetime,
