--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -11,6 +11,7 @@
 #include "core/ids/strong_integer.h"
 #include "core/ids/strong_string.h"
 #include "core/net/socket_address.h"
+#include "core/priority/priority_class.h"
 #include "core/random/random.h"
 #include "core/time/time.h"
 #include "core/variant/overloaded.h"
