Connect daemons by failure detection, budgets and demand reports

Cause: shares, liveness, demand and proofs of currency must pass between daemons. Change: a peer hub with datagrams and requests, the isolation rule of the design, demand reports to the placement owner, budgets charged through the budget service.

--- a/daemon/app/daemon.cc
+++ b/daemon/app/daemon.cc
@@ -6,8 +6,10 @@
 #include <sstream>
 #include <thread>
 
+#include "daemon/control/budget_service.h"
 #include "daemon/control/control_loop.h"
 #include "daemon/control/instance_list_reader.h"
+#include "daemon/control/peer_hub.h"
 #include "daemon/control/placement_service.h"
 #include "daemon/control/store_reader.h"
 #include "daemon/state/shared_state.h"
@@ -17,6 +19,8 @@
 namespace {
 
 constexpr Duration kPollInterval = std::chrono::milliseconds(250);
+constexpr Duration kStatusInterval = std::chrono::milliseconds(200);
+constexpr Duration kDemandInterval = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
 
 auto ReadSecretFile(const std::string& path) -> Result<std::string> {
@@ -35,6 +39,20 @@
   return {status, {{"Content-Type", type}}, std::move(body), false};
 }
 
+auto MemberStateName(MemberState state) -> const char* {
+  switch (state) {
+    case MemberState::kLive:
+      return "live";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kSuspected:
+      return "suspected";
+    case MemberState::kGone:
+      return "gone";
+  }
+  return "gone";
+}
+
 auto TargetOf(const SocketAddress& address) -> UpstreamTarget {
   return {address.host, address.port};
 }
@@ -46,8 +64,22 @@
   Implementation(const DaemonSettings& settings, Incarnation incarnation)
       : settings_(settings),
         incarnation_(incarnation),
+        self_{settings.instance, incarnation},
         state_(settings.instance, incarnation, AdmissionOptions{}) {}
 
+  ~Implementation() {
+    stopping_ = true;
+    if (reporter_.joinable()) reporter_.join();
+    // Callers first, so that no request uses what is destroyed after.
+    callers_.reset();
+    admin_.reset();
+    instance_list_.reset();
+    store_reader_.reset();
+    monitor_.reset();
+    hub_.reset();
+    budget_.reset();
+  }
+
   auto Start() -> Result<void> {
     const auto digest_key = DigestKey::FromFile(settings_.key_files.digest);
     if (!digest_key) return tl::unexpected(digest_key.error());
@@ -56,8 +88,13 @@
       if (!credential) return tl::unexpected(credential.error());
       state_.upstream_credential = std::move(*credential);
     }
+    const auto fleet_text = ReadSecretFile(settings_.key_files.fleet);
+    if (!fleet_text) return tl::unexpected(fleet_text.error());
+    const auto fleet_key = FleetKey::Parse(*fleet_text);
+    if (!fleet_key) return tl::unexpected(fleet_key.error());
     state_.json_limits.max_depth =
         static_cast<int>(settings_.limits.json_depth);
+    if (auto started = StartPeers(*fleet_key); !started) return started;
     if (auto started = StartListeners(); !started) return started;
     StartControl(*digest_key);
     return {};
@@ -66,6 +103,7 @@
   auto Drain() -> void {
     draining_ = true;
     LogState(LogSeverity::kInfo, "draining");
+    hub_->Leave();
     std::this_thread::sleep_for(settings_.drain);
     callers_->StopAccepting();
     while (callers_->ActiveRequests() > 0) {
@@ -87,8 +125,9 @@
     callers.max_connections =
         static_cast<unsigned>(settings_.limits.connections);
     handler_ = std::make_unique<RequestHandler>(
-        state_, [](const ClientAccountId&, Tokens, Duration&) {
-          return std::optional(BudgetCharge{[](std::int64_t) {}});
+        state_, [this](const ClientAccountId& account, Tokens amount,
+                       Duration& retry_after) {
+          return budget_->Charge(account, amount, retry_after);
         });
     auto server = HttpServer::Start(
         callers, [this](const auto& request, const auto& caller) {
@@ -108,14 +147,74 @@
     return {};
   }
 
+  auto StartPeers(const FleetKey& key) -> Result<void> {
+    budget_ = std::make_unique<BudgetService>(
+        self_, std::make_unique<ObjectStore>(OpenStore()),
+        [this](const MemberId& to, const BudgetMessage& message) {
+          if (hub_ready_) hub_->SendBudget(to, message);
+        },
+        state_.metrics);
+    PeerEvents events;
+    events.on_budget = [this](const BudgetMessage& message) {
+      budget_->OnMessage(message);
+    };
+    events.on_demand = [this](const ModelDemandReport& report) {
+      if (started_) placement_->OnDemand(report);
+    };
+    events.on_gone = [this](const MemberId& member) {
+      budget_->OnGone(member);
+    };
+    events.on_live = [this](std::set<MemberId> live) {
+      budget_->SetLiveMembers(std::move(live));
+    };
+    events.on_proof = [this](RevisionNumber revision, Timestamp proved_at) {
+      if (started_) control_->Send(PeerProof{revision, proved_at});
+    };
+    auto hub = PeerHub::Start(settings_, self_, key, std::move(events),
+                              state_.metrics);
+    if (!hub) return tl::unexpected(hub.error());
+    hub_ = std::move(*hub);
+    hub_ready_ = true;
+    return {};
+  }
+
+  // Tells other daemons about this one's revision and demand.
+  auto ReportToPeers() -> void {
+    auto next_demand = MonotonicNow();
+    while (!stopping_) {
+      std::this_thread::sleep_for(kStatusInterval);
+      const auto snapshot = state_.snapshot.Load();
+      if (snapshot) {
+        hub_->SetStatus(snapshot->revision, control_->CurrencyAge());
+      }
+      if (MonotonicNow() < next_demand) continue;
+      next_demand = MonotonicNow() + kDemandInterval;
+      SendDemand();
+    }
+  }
+
+  auto SendDemand() -> void {
+    const auto owner = placement_->Owner();
+    if (!owner) return;
+    ModelDemandReport report;
+    {
+      const std::lock_guard lock(state_.demand_mutex);
+      report = state_.demand.TakeReport();
+    }
+    if (*owner == self_) {
+      placement_->OnDemand(report);
+    } else {
+      hub_->SendDemand(*owner, report);
+    }
+  }
+
   auto StartControl(const DigestKey& digest_key) -> void {
     control_ = std::make_unique<ControlLoop>(state_, digest_key, settings_);
     const auto send = [this](ControlEvent event) {
       control_->Send(std::move(event));
     };
-    const MemberId self{settings_.instance, incarnation_};
     placement_ = std::make_unique<PlacementService>(
-        self, std::make_unique<ObjectStore>(OpenStore()), state_.metrics);
+        self_, std::make_unique<ObjectStore>(OpenStore()), state_.metrics);
     monitor_ = std::make_unique<UpstreamMonitor>(
         [this, send](const UpstreamObservation& observation) {
           placement_->OnObservation(observation);
@@ -126,14 +225,24 @@
         [this](const SharedSnapshot& snapshot) {
           monitor_->SetDocument(snapshot);
           placement_->SetDocument(snapshot);
+          budget_->SetDocument(*snapshot);
         },
         [this](const std::set<UpstreamId>& leaving) {
           placement_->SetLeaving(leaving);
-        });
+        },
+        [this](Timestamp since) { return hub_->ZonesHeardSince(since); });
     store_reader_ =
         std::make_unique<StoreReader>([this] { return OpenStore(); }, send);
     instance_list_ = std::make_unique<InstanceListReader>(
-        TargetOf(settings_.platform.instance_list), send);
+        TargetOf(settings_.platform.instance_list),
+        [this, send](ControlEvent event) {
+          if (const auto* list = std::get_if<InstanceListRead>(&event)) {
+            hub_->SetInstanceList(*list);
+          }
+          send(std::move(event));
+        });
+    started_ = true;
+    reporter_ = std::thread([this] { ReportToPeers(); });
   }
 
   auto OpenStore() const -> ObjectStore {
@@ -167,6 +276,24 @@
     return PlainResponse(404, "not found\n", "text/plain");
   }
 
+  auto BudgetsStatus() const -> nlohmann::json {
+    auto budgets = nlohmann::json::object();
+    for (const auto& status : budget_->Status()) {
+      budgets[status.budget.Value()] = {
+          {"share_ppm", status.share.Value()},
+          {"available", status.available.Value()}};
+    }
+    return budgets;
+  }
+
+  auto MembersStatus() const -> nlohmann::json {
+    auto members = nlohmann::json::object();
+    for (const auto& status : hub_->Status()) {
+      members[status.instance.Value()] = MemberStateName(status.state);
+    }
+    return members;
+  }
+
   auto Status() const -> nlohmann::json {
     const auto snapshot = state_.snapshot.Load();
     return {{"instance", settings_.instance.Value()},
@@ -177,6 +304,9 @@
             {"draining", draining_.load()},
             {"isolated", state_.isolated.load()},
             {"placement_owner", placement_->IsOwner()},
+            {"budget_owner", budget_->IsOwner()},
+            {"budgets", BudgetsStatus()},
+            {"members", MembersStatus()},
             {"currency_age_ms",
              std::chrono::duration_cast<std::chrono::milliseconds>(
                  control_->CurrencyAge())
@@ -186,8 +316,16 @@
 
   DaemonSettings settings_;
   Incarnation incarnation_;
+  MemberId self_;
   SharedState state_;
   std::atomic<bool> draining_{false};
+  std::atomic<bool> hub_ready_{false};
+  // Set when control and placement exist; messages before are dropped.
+  std::atomic<bool> started_{false};
+  std::atomic<bool> stopping_{false};
+  std::unique_ptr<BudgetService> budget_;
+  std::unique_ptr<PeerHub> hub_;
+  std::thread reporter_;
   std::unique_ptr<RequestHandler> handler_;
   std::unique_ptr<ControlLoop> control_;
   std::unique_ptr<PlacementService> placement_;
--- a/daemon/control/control_event.h
+++ b/daemon/control/control_event.h
@@ -7,6 +7,7 @@
 #include "core/core.h"
 #include "daemon/control/upstream_monitor.h"
 #include "document/document.h"
+#include "membership/membership.h"
 #include "revision/revision.h"
 
 namespace dotterellug {
@@ -29,12 +30,21 @@
   std::string fault;
 };
 struct InstanceListRead {
-  std::set<InstanceId> live;
+  Timestamp asked_at;
+  // Entries with an address, which are the daemons.
+  std::vector<ListedInstance> daemons;
+  // All instances that leave, upstreams among them.
   std::set<InstanceId> leaving;
 };
+// Another daemon's proof that this revision was current at that time.
+struct PeerProof {
+  RevisionNumber revision;
+  Timestamp proved_at;
+};
 
 using ControlEvent =
     std::variant<UpstreamObservation, StoreAnswered, StoreFailed,
-                 RevisionFetched, RevisionRejected, InstanceListRead>;
+                 RevisionFetched, RevisionRejected, InstanceListRead,
+                 PeerProof>;
 
 }  // namespace dotterellug
--- a/daemon/control/control_loop.cc
+++ b/daemon/control/control_loop.cc
@@ -6,13 +6,21 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
+// Up to this age of the last proof, operation is normal.
+constexpr Duration kCurrencyLimit = std::chrono::seconds(3);
+// A zone counts as reached when a peer in it was heard from within this time,
+// which spans several probe rounds and leaves 1 s of the 5 s within which an
+// isolated daemon has to refuse keyed requests.
+constexpr Duration kContactLimit = std::chrono::seconds(4);
 
 }  // namespace
 
 ControlLoop::ControlLoop(SharedState& state, DigestKey digest_key,
                          const DaemonSettings& settings)
-    : state_(state), digest_key_(digest_key), follower_({}) {
-  static_cast<void>(settings);
+    : state_(state),
+      digest_key_(digest_key),
+      follower_({}),
+      own_zone_(settings.availability_zone) {
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -58,8 +66,7 @@
             // The proof holds from the moment of the question, and only when
             // nothing newer is known.
             if (follower_.Current() == follower_.Target()) {
-              proved_at_ = std::max(proved_at_, answer.asked_at);
-              proved_at_us_ = proved_at_.time_since_epoch().count();
+              NoteProof(answer.asked_at);
             }
           },
           [&](StoreFailed&) {
@@ -76,7 +83,12 @@
                      {{"revision", std::to_string(rejected.ref.number.Value())},
                       {"fault", rejected.fault}});
           },
-          [&](InstanceListRead& list) { ApplyInstanceList(list); }},
+          [&](InstanceListRead& list) { ApplyInstanceList(list); },
+          [&](PeerProof& proof) {
+            if (proof.revision == follower_.Current().number) {
+              NoteProof(proof.proved_at);
+            }
+          }},
       event);
 }
 
@@ -118,8 +130,34 @@
   state_.gate.NotifyRoom();
 }
 
+auto ControlLoop::NoteProof(Timestamp proved_at) -> void {
+  proved_at_ = std::max(proved_at_, proved_at);
+  proved_at_us_ = proved_at_.time_since_epoch().count();
+}
+
+auto ControlLoop::CheckIsolation(Timestamp now) -> void {
+  const auto snapshot = state_.snapshot.Load();
+  if (!snapshot) return;
+  bool isolated = false;
+  if (now - proved_at_ > kCurrencyLimit && zones_heard_) {
+    auto zones = zones_heard_(now - kContactLimit);
+    zones.insert(own_zone_);
+    std::size_t heard = 0;
+    for (const auto& [id, zone] : snapshot->document.zones) {
+      heard += zones.count(id);
+    }
+    isolated = 2 * heard <= snapshot->document.zones.size();
+  }
+  if (isolated == state_.isolated) return;
+  state_.isolated = isolated;
+  LogState(isolated ? LogSeverity::kError : LogSeverity::kInfo,
+           isolated ? "isolated; refusing keyed requests"
+                    : "no longer isolated");
+}
+
 auto ControlLoop::Tick() -> void {
   if (fleet_.Expire(MonotonicNow())) PublishRouting();
+  CheckIsolation(MonotonicNow());
   state_.metrics.Set(Level::kUpstreamsUp,
                      static_cast<double>(fleet_.UpCount()));
   state_.metrics.Set(Level::kCurrencyAgeSeconds, ToSeconds(CurrencyAge()));
--- a/daemon/control/control_loop.h
+++ b/daemon/control/control_loop.h
@@ -34,9 +34,14 @@
   // that leave; set once before events arrive.
   using OnDocument = std::function<auto(const SharedSnapshot&)->void>;
   using OnLeaving = std::function<auto(const std::set<UpstreamId>&)->void>;
-  auto SetListeners(OnDocument on_document, OnLeaving on_leaving) -> void {
+  // Availability zones of peers heard from since a time.
+  using ZonesHeard =
+      std::function<auto(Timestamp)->std::set<AvailabilityZoneId>>;
+  auto SetListeners(OnDocument on_document, OnLeaving on_leaving,
+                    ZonesHeard zones_heard) -> void {
     on_document_ = std::move(on_document);
     on_leaving_ = std::move(on_leaving);
+    zones_heard_ = std::move(zones_heard);
   }
 
  private:
@@ -46,6 +51,11 @@
   auto ApplyInstanceList(const InstanceListRead& list) -> void;
   auto Tick() -> void;
   auto PublishRouting() -> void;
+  // Notes that the revision in force was current at `proved_at`.
+  auto NoteProof(Timestamp proved_at) -> void;
+  // Whether this daemon can tell that its revision is current, or that the
+  // object API is down for everyone (design, section 3.3).
+  auto CheckIsolation(Timestamp now) -> void;
 
   SharedState& state_;
   DigestKey digest_key_;
@@ -53,6 +63,8 @@
   FleetView fleet_;
   OnDocument on_document_;
   OnLeaving on_leaving_;
+  ZonesHeard zones_heard_;
+  AvailabilityZoneId own_zone_;
   Mailbox<ControlEvent> mailbox_;
   Timestamp proved_at_;
   bool store_up_ = false;
--- a/daemon/control/instance_list_reader.cc
+++ b/daemon/control/instance_list_reader.cc
@@ -18,12 +18,14 @@
   InstanceListRead list;
   for (const auto& entry : json["instances"]) {
     if (!entry.is_object()) return std::nullopt;
-    const InstanceId id(entry.value("id", ""));
-    if (entry.value("state", "") == "leaving") {
-      list.leaving.insert(id);
-    } else {
-      list.live.insert(id);
-    }
+    ListedInstance instance;
+    instance.id = InstanceId(entry.value("id", ""));
+    instance.zone =
+        AvailabilityZoneId(entry.value("availability_zone", ""));
+    instance.address = entry.value("address", "");
+    instance.leaving = entry.value("state", "") == "leaving";
+    if (instance.leaving) list.leaving.insert(instance.id);
+    if (!instance.address.empty()) list.daemons.push_back(instance);
   }
   return list;
 }
@@ -63,7 +65,11 @@
   std::unique_ptr<UpstreamExchange> exchange;
   while (!stopping_) {
     if (!exchange) exchange = std::make_unique<UpstreamExchange>(target_);
-    if (auto list = ReadOnce(*exchange)) send_(std::move(*list));
+    const auto asked_at = MonotonicNow();
+    if (auto list = ReadOnce(*exchange)) {
+      list->asked_at = asked_at;
+      send_(std::move(*list));
+    }
     if (!exchange->Reusable()) exchange.reset();
     std::this_thread::sleep_for(kInterval);
   }
--- a/daemon/state/shared_state.h
+++ b/daemon/state/shared_state.h
@@ -12,6 +12,7 @@
 #include "daemon/traffic/request_context.h"
 #include "document/document.h"
 #include "frontend/frontend.h"
+#include "placement/placement.h"
 #include "routing/routing.h"
 #include "telemetry/telemetry.h"
 #include "upstream/upstream.h"
@@ -36,6 +37,7 @@
       : ids(instance, incarnation),
         gate(admission),
         prefixes(PrefixIndexOptions{}),
+        demand(instance, incarnation),
         retry_budget(RetryBudgetOptions{}),
         resume_budget(kResumeOptions),
         retry_random(Hash64(instance.Value())) {}
@@ -56,6 +58,9 @@
   // Set while this daemon cannot tell whether its revision is current.
   std::atomic<bool> isolated{false};
 
+  std::mutex demand_mutex;
+  DemandCounter demand;
+
   std::mutex retry_mutex;
   RetryBudget retry_budget;
   // Streams that are cut off when an engine dies all at once need more than
--- a/daemon/traffic/completion_call.cc
+++ b/daemon/traffic/completion_call.cc
@@ -198,7 +198,16 @@
   }
 }
 
+// Tokens that the caller asked for are demand whether or not they are served.
+auto CompletionCall::CountDemand() -> void {
+  DemandTokens tokens;
+  tokens.admitted = routing_.prompt_tokens + Tokens(request_.max_tokens);
+  const std::lock_guard lock(state_.demand_mutex);
+  state_.demand.Add(routing_.model, tokens);
+}
+
 auto CompletionCall::Run() -> tl::expected<HttpResponse, RequestFailure> {
+  CountDemand();
   {
     const std::lock_guard lock(state_.retry_mutex);
     state_.retry_budget.CountRequest(context_.account, context_.arrival);
--- a/daemon/traffic/completion_call.h
+++ b/daemon/traffic/completion_call.h
@@ -38,6 +38,7 @@
   auto Run() -> tl::expected<HttpResponse, RequestFailure>;
 
  private:
+  auto CountDemand() -> void;
   auto WaitForCapacity() -> std::optional<RequestFailure>;
   // Chooses an engine and sends the request until a response begins. A
   // response that the engine refused without running it is not one.
