Leave room for the transport in probes

Cause: membership reserved 64 bytes of a datagram for authentication; the transport's header needs up to 195 with ids of 64 bytes. Both modules also defined kMaxDatagramBytes. Change: membership reserves 200 bytes; the transport's constant is kDatagramLimitBytes, and its body may take 1,005 bytes. Conclusion: a full probe fits into one datagram; a probe carries at most 12% fewer changes.

--- a/modules/membership/wire/message.h
+++ b/modules/membership/wire/message.h
@@ -27,9 +27,10 @@
 };
 
 // Largest datagram, so that it fits into one packet everywhere, and the part of
-// it that is left to the authentication of the transport.
+// it that is left to the transport: MAC, ids of up to 64 bytes, incarnations,
+// epochs and sequence (see peer/datagram).
 inline constexpr std::size_t kMaxDatagramBytes = 1200;
-inline constexpr std::size_t kAuthenticationBytes = 64;
+inline constexpr std::size_t kAuthenticationBytes = 200;
 inline constexpr std::size_t kMaxMessageBytes =
     kMaxDatagramBytes - kAuthenticationBytes;
 
--- a/modules/peer/datagram/datagram_codec.cc
+++ b/modules/peer/datagram/datagram_codec.cc
@@ -107,7 +107,7 @@
        header.receiver_epoch, header.sequence, datagram.body});
   std::string bytes(kMacBytes, '\0');
   nlohmann::json::to_cbor(fields, bytes);
-  if (bytes.size() > kMaxDatagramBytes) {
+  if (bytes.size() > kDatagramLimitBytes) {
     return Fail(ErrorKind::kTooLarge,
                 "the datagram has " + std::to_string(bytes.size()) + " bytes",
                 "keep the body within " +
@@ -123,7 +123,7 @@
 auto DecodeDatagram(std::string_view bytes, const FleetKey& key)
     -> DecodedDatagram {
   DecodedDatagram decoded;
-  if (bytes.size() <= kMacBytes || bytes.size() > kMaxDatagramBytes) {
+  if (bytes.size() <= kMacBytes || bytes.size() > kDatagramLimitBytes) {
     return decoded;
   }
   MessageMac mac;
--- a/modules/peer/datagram/datagram_codec.h
+++ b/modules/peer/datagram/datagram_codec.h
@@ -13,9 +13,9 @@
 
 // Whole datagrams stay below the smallest usual MTU, so that they are not
 // fragmented.
-inline constexpr std::size_t kMaxDatagramBytes = 1200;
+inline constexpr std::size_t kDatagramLimitBytes = 1200;
 // What a body in CBOR may always occupy, with the longest ids and numbers.
-inline constexpr std::size_t kMaxDatagramBodyBytes = 1000;
+inline constexpr std::size_t kMaxDatagramBodyBytes = 1005;
 
 enum class DatagramKind : std::uint8_t {
   kMessage = 0,
@@ -32,7 +32,7 @@
   nlohmann::json body;
 };
 
-// MAC and CBOR array. Fails with kTooLarge above kMaxDatagramBytes.
+// MAC and CBOR array. Fails with kTooLarge above kDatagramLimitBytes.
 auto EncodeDatagram(const Datagram& datagram, const FleetKey& key)
     -> Result<std::string>;
 
--- a/modules/peer/datagram/datagram_endpoint.cc
+++ b/modules/peer/datagram/datagram_endpoint.cc
@@ -72,7 +72,7 @@
 
 auto DatagramEndpoint::Receive(std::string_view bytes,
                                const SocketAddress& source) -> void {
-  if (bytes.size() > kMaxDatagramBytes) {
+  if (bytes.size() > kDatagramLimitBytes) {
     counters_.Count(Refusal::kTooLarge);
     return;
   }
--- a/modules/peer/datagram/datagram_endpoint.h
+++ b/modules/peer/datagram/datagram_endpoint.h
@@ -50,7 +50,7 @@
   auto SetPeers(std::set<InstanceId> peers) -> void;
   // Sends `body` once; success says nothing about arrival. An incarnation of 0
   // accepts any process on the receiving instance. Fails with kTooLarge when
-  // the whole datagram exceeds kMaxDatagramBytes, and with kUnavailable when
+  // the whole datagram exceeds kDatagramLimitBytes, and with kUnavailable when
   // the system does not send it.
   auto Send(const MemberId& receiver, const SocketAddress& address,
             nlohmann::json body) -> Result<void>;
