--- a/daemon/control/budget_service.cc
+++ b/daemon/control/budget_service.cc
@@ -6,9 +6,6 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(500);
-// An owner that is not among the live members for this long is replaced. A
-// takeover needs no clock to be safe; waiting only avoids needless ones.
-constexpr Duration kTakeOverAfter = std::chrono::seconds(1);
 // Asked beyond the missing amount, so that a steady demand does not ask for
 // each request.
 constexpr std::int64_t kTransferRequests = 8;
@@ -27,7 +24,7 @@
       metrics_(metrics),
       self_(self),
       shard_(ShardId("budgets"), self),
-      live_({self}) {
+      watch_(ShardId("budgets"), self) {
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -105,8 +102,7 @@
 
 auto BudgetService::SetLiveMembers(std::set<MemberId> live) -> void {
   const std::lock_guard lock(mutex_);
-  live.insert(self_);
-  live_ = std::move(live);
+  watch_.SetLive(std::move(live));
 }
 
 auto BudgetService::OnGone(const MemberId& member) -> void {
@@ -146,7 +142,9 @@
     if (now >= next_tick) {
       next_tick = now + kTick;
       Enqueue(shard_.Tick(now));
-      TakeOverIfNeeded(now);
+      if (watch_.ShouldTakeOver(shard_.Agent(), now)) {
+        Enqueue(shard_.TakeOver(now));
+      }
     }
     if (queue_.empty()) {
       queued_.wait_until(lock, next_tick);
@@ -188,42 +186,9 @@
 
 auto BudgetService::Write(const WriteObject& write) -> void {
   const auto written = store_->Put(write.name, write.value, write.expected);
-  auto outcome = WriteOutcome::kDone;
-  if (!written) {
-    const auto kind = written.error().kind;
-    if (kind == ErrorKind::kConflict) {
-      outcome = WriteOutcome::kConflict;
-    } else if (kind == ErrorKind::kOutcomeUnknown) {
-      outcome = WriteOutcome::kUnknown;
-    } else {
-      outcome = WriteOutcome::kNotDone;
-    }
-    metrics_.Count(Event::kStoreError);
-  }
+  if (!written) metrics_.Count(Event::kStoreError);
   const std::lock_guard lock(mutex_);
-  Enqueue(shard_.OnWrite(outcome, MonotonicNow()));
-}
-
-// The live member with the highest rendezvous weight takes over, so that
-// usually one of them tries.
-auto BudgetService::TakeOverIfNeeded(Timestamp now) -> void {
-  const auto& agent = shard_.Agent();
-  const auto& record = agent.KnownRecord();
-  if (!agent.Registered() || !record) return;
-  const bool has_owner = record->owner && live_.count(*record->owner) > 0;
-  if (has_owner) {
-    owner_missing_since_.reset();
-    return;
-  }
-  if (!owner_missing_since_) owner_missing_since_ = now;
-  if (record->owner && now - *owner_missing_since_ < kTakeOverAfter) return;
-  const auto weight = [](const MemberId& member) {
-    return RendezvousWeight("budgets", member.instance.Value());
-  };
-  const auto best = std::max_element(
-      live_.begin(), live_.end(),
-      [&](const auto& a, const auto& b) { return weight(a) < weight(b); });
-  if (*best == self_) Enqueue(shard_.TakeOver(now));
+  Enqueue(shard_.OnWrite(WriteOutcomeOf(written), MonotonicNow()));
 }
 
 }  // namespace dotterellug
--- a/daemon/control/budget_service.h
+++ b/daemon/control/budget_service.h
@@ -11,6 +11,7 @@
 
 #include "budget/budget.h"
 #include "core/core.h"
+#include "daemon/control/take_over_watch.h"
 #include "daemon/traffic/budget_gate.h"
 #include "document/document.h"
 #include "store/store.h"
@@ -61,7 +62,6 @@
   auto CarryOut(const BudgetAction& action) -> void;
   auto Read(const std::string& name) -> void;
   auto Write(const WriteObject& write) -> void;
-  auto TakeOverIfNeeded(Timestamp now) -> void;
   auto RetryAfter(const ClientAccountId& account, Tokens amount, Timestamp now)
       -> Duration;
 
@@ -75,8 +75,7 @@
   std::condition_variable queued_;
   BudgetShard shard_;
   std::map<ClientAccountId, TokenLimit> limits_;
-  std::set<MemberId> live_;
-  std::optional<Timestamp> owner_missing_since_;
+  TakeOverWatch watch_;
   std::deque<BudgetAction> queue_;
   bool stopping_ = false;
   std::thread thread_;
--- a/modules/idempotency/record/claim_log.cc
+++ b/modules/idempotency/record/claim_log.cc
@@ -60,13 +60,13 @@
       {"batch", log.batch},
       {"unknown_until", log.unknown_until.time_since_epoch().count()},
       {"records", std::move(records)}};
-  const auto bytes = Json::to_cbor(json);
-  return {bytes.begin(), bytes.end()};
+  // Values of the object API are UTF-8 text.
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 auto ParseClaimLog(std::string_view value) -> Result<ClaimLog> {
   try {
-    const auto json = Json::from_cbor(value.begin(), value.end());
+    const auto json = Json::parse(value.begin(), value.end());
     ClaimLog log;
     log.term = Term(json.at("term").get<std::int64_t>());
     log.batch = json.at("batch").get<std::int64_t>();
--- a/modules/idempotency/record/claim_log.h
+++ b/modules/idempotency/record/claim_log.h
@@ -23,7 +23,7 @@
 };
 
 auto ClaimObjectName(const ShardId& shard) -> std::string;
-// The value as CBOR, and back. Parsing fails with kProtocol on other input.
+// The value as JSON, and back. Parsing fails with kProtocol on other input.
 auto EncodeClaimLog(const ClaimLog& log) -> std::string;
 auto ParseClaimLog(std::string_view value) -> Result<ClaimLog>;
 
--- a/modules/idempotency/shard/claim_shard.cc
+++ b/modules/idempotency/shard/claim_shard.cc
@@ -102,8 +102,9 @@
 }
 
 auto ClaimShard::Begin(const ClaimKey& key, const RequestDigest& request)
-    -> ClaimActions {
-  return SendToOwner(claimant_.Begin(key, request));
+    -> BegunClaim {
+  const auto message = claimant_.Begin(key, request);
+  return {message.claimant, SendToOwner(message)};
 }
 
 auto ClaimShard::Finish(const ClaimantId& claimant, ClaimState state,
--- a/modules/idempotency/shard/claim_shard.h
+++ b/modules/idempotency/shard/claim_shard.h
@@ -11,6 +11,12 @@
 
 namespace dotterellug {
 
+// A claim that was begun, and what to do for it now.
+struct BegunClaim {
+  ClaimantId claimant;
+  ClaimActions actions;
+};
+
 // One daemon's part in one claim shard: claimant, member and, while it owns the
 // shard, owner. The caller carries out the actions in order, passes messages
 // and store results in, and calls Tick every 500 ms.
@@ -30,8 +36,9 @@
   // `member` is confirmed gone.
   auto OnGone(const MemberId& member, ClaimTime now) -> ClaimActions;
 
-  // A call arrived here; the answer is a RunCall or AnswerCaller action later.
-  auto Begin(const ClaimKey& key, const RequestDigest& request) -> ClaimActions;
+  // A call arrived here; the answer is a RunCall or AnswerCaller action with
+  // the same claimant later.
+  auto Begin(const ClaimKey& key, const RequestDigest& request) -> BegunClaim;
   // See Claimant::Finish.
   auto Finish(const ClaimantId& claimant, ClaimState state,
               const StoredResponse& response) -> ClaimActions;
--- a/modules/idempotency/tests/claim_fleet.h
+++ b/modules/idempotency/tests/claim_fleet.h
@@ -169,7 +169,7 @@
         if (random_.Below(60) == 0) CarryOut(self, shard.TakeOver(Now()));
         break;
       case 1:
-        CarryOut(self, shard.Begin(RandomKey(), RequestDigest("same")));
+        CarryOut(self, shard.Begin(RandomKey(), RequestDigest("same")).actions);
         break;
       case 2:
         FinishOne(&process);
