Measure the routing policies and correct late load reports by the daemon's own part

Reports are older than the queues they describe, equal costs were decided by zone distance, and sends that had already ended counted as load. Change: a simulation of 9 engines and 8 daemons, a benchmark of the decision's time, a contention part per request in the engine, and load estimates that replace this daemon's part of a report by its part now. Removed: the term for a full batch and the correction of the prefix index, which did not pay.

--- /dev/null
+++ b/modules/routing/benchmarks/routing_simulation.h
@@ -0,0 +1,274 @@
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "routing/benchmarks/simulated_workload.h"
+
+namespace dotterellug::simulation {
+
+struct SimulationOptions {
+  RoutingPolicy policy;
+  WorkloadOptions workload;
+  double requests_per_second = 30;
+  std::uint64_t seed = 1;
+  std::size_t engines = 9;
+  std::size_t daemons = 8;
+  Duration report_interval = std::chrono::milliseconds(250);
+  Duration report_lag = std::chrono::milliseconds(300);
+  Duration event_lag = std::chrono::milliseconds(400);
+  double events_lost = 0.1;
+  // The first engine runs this many times slower than the others.
+  double slowdown = 1;
+  Duration warm_up = std::chrono::seconds(20);
+  Duration length = std::chrono::seconds(140);
+};
+
+struct SimulationResult {
+  double first_token_median_ms = 0;
+  double first_token_p95_ms = 0;
+  // Part of the arrived requests whose first token came within 0.57 s.
+  double attainment = 0;
+  // Part of the prompt tokens that were found in a prefix cache.
+  double hit_rate = 0;
+  // Requests in the fullest engine over the mean of all, averaged over time.
+  double imbalance = 0;
+};
+
+// Engines with their reports and events, and daemons that see them late.
+class RoutingSimulation {
+ public:
+  explicit RoutingSimulation(const SimulationOptions& options)
+      : options_(options),
+        random_(options.seed),
+        workload_(options.workload, options.seed + 1000) {
+    BuildEngines();
+    BuildDaemons();
+  }
+
+  auto Run() -> SimulationResult {
+    ScheduleArrival();
+    ScheduleReports();
+    events_.RunUntil(Timestamp(options_.length));
+    return Summarise();
+  }
+
+ private:
+  struct Daemon {
+    std::shared_ptr<const RoutingTable> table;
+    std::unique_ptr<PrefixIndex> prefixes;
+    std::unique_ptr<CacheEventApplier> applier;
+    RoutingThreadState state{0};
+  };
+  struct Sample {
+    Timestamp arrival;
+    double first_token_ms = 0;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t cached_tokens = 0;
+  };
+
+  static auto EngineId(std::size_t engine) -> UpstreamId {
+    return UpstreamId("e" + std::to_string(engine));
+  }
+  static auto ZoneId(std::size_t number) -> AvailabilityZoneId {
+    return AvailabilityZoneId("z" + std::to_string(number % 4));
+  }
+
+  auto BuildEngines() -> void {
+    for (std::size_t i = 0; i < options_.engines; ++i) {
+      EngineOptions engine;
+      if (i == 0) {
+        engine.prefill_tokens_per_ms /= options_.slowdown;
+        engine.step_ms *= options_.slowdown;
+      }
+      engines_.push_back(std::make_unique<SimulatedEngine>(events_, engine));
+      sequences_.push_back(0);
+      engines_.back()->SetCacheListener(
+          [this, i](CacheEventKind kind, const BlockHashes& blocks) {
+            SendCacheEvent(i, kind, blocks);
+          });
+    }
+  }
+
+  // The more popular a model is, the more engines have it.
+  auto HasModel(std::size_t engine, std::size_t model) const -> bool {
+    const std::size_t copies = model < 3 ? 6 : model < 8 ? 4 : 2;
+    return (engine + options_.engines - (model * 2) % options_.engines) %
+               options_.engines <
+           copies;
+  }
+
+  auto BuildDaemons() -> void {
+    for (std::size_t i = 0; i < options_.engines; ++i) {
+      Upstream upstream;
+      upstream.id = EngineId(i);
+      upstream.zone = ZoneId(i);
+      document_.upstreams[upstream.id] = upstream;
+      document_.zones[upstream.zone] = AvailabilityZone{upstream.zone, false};
+    }
+    for (std::size_t d = 0; d < options_.daemons; ++d) {
+      RoutingInputs inputs;
+      inputs.document = &document_;
+      inputs.default_zone_ms = options_.workload.zone_ms;
+      inputs.zone_ms[ZoneId(d)] = 0.1;
+      for (std::size_t i = 0; i < options_.engines; ++i) {
+        inputs.statuses.push_back(Status(i));
+      }
+      Daemon daemon;
+      daemon.table = RoutingTable::Build(inputs, nullptr);
+      daemon.prefixes =
+          std::make_unique<PrefixIndex>(PrefixIndexOptions{16'384});
+      daemon.applier = std::make_unique<CacheEventApplier>(*daemon.prefixes);
+      daemon.state = RoutingThreadState(options_.seed * 100 + d);
+      daemons_.push_back(std::move(daemon));
+    }
+  }
+
+  auto Status(std::size_t engine) const -> UpstreamStatus {
+    UpstreamStatus status;
+    status.id = EngineId(engine);
+    status.state = UpstreamState::kLive;
+    status.allowance = 100'000;
+    for (std::size_t m = 0; m < options_.workload.models; ++m) {
+      if (HasModel(engine, m)) {
+        status.models.emplace_back("m" + std::to_string(m));
+      }
+    }
+    return status;
+  }
+
+  auto SendCacheEvent(std::size_t engine, CacheEventKind kind,
+                      const BlockHashes& blocks) -> void {
+    const auto sequence = ++sequences_[engine];
+    for (auto& daemon : daemons_) {
+      if (random_.Uniform() < options_.events_lost) continue;
+      CacheEvent event{*daemon.table->SlotOf(EngineId(engine)), Incarnation(1),
+                       sequence, kind, blocks};
+      auto* applier = daemon.applier.get();
+      events_.After(options_.event_lag, [this, applier, event] {
+        applier->Apply(event, events_.Now());
+      });
+    }
+  }
+
+  auto SampleImbalance() -> void {
+    double most = 0;
+    double total = 0;
+    for (const auto& engine : engines_) {
+      const auto report = engine->Report();
+      const auto requests = static_cast<double>(report.waiting_requests +
+                                                report.running_requests);
+      most = std::max(most, requests);
+      total += requests;
+    }
+    if (total == 0 || !Counts(events_.Now())) return;
+    imbalance_sum_ += most * static_cast<double>(engines_.size()) / total;
+    ++imbalance_count_;
+  }
+
+  auto ScheduleReports() -> void {
+    SampleImbalance();
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      const auto report = engines_[i]->Report();
+      for (auto& daemon : daemons_) {
+        auto load = daemon.table->LoadOf(EngineId(i));
+        const auto jitter = FromSeconds(0.02 * random_.Uniform());
+        events_.After(options_.report_lag + jitter,
+                      [load, report] { load->ApplyReport(report); });
+      }
+    }
+    events_.After(options_.report_interval, [this] { ScheduleReports(); });
+  }
+
+  auto ScheduleArrival() -> void {
+    const auto gap = random_.Exponential(1 / options_.requests_per_second);
+    events_.After(FromSeconds(gap), [this] {
+      Route(workload_.Next());
+      ScheduleArrival();
+    });
+  }
+
+  auto Route(const RequestPointer& request) -> void {
+    request->arrival = events_.Now();
+    request->daemon = random_.Below(daemons_.size());
+    auto& daemon = daemons_[request->daemon];
+    const auto decision =
+        ChooseEngine(options_.policy, *daemon.table, *daemon.prefixes,
+                     request->routing, daemon.state, events_.Now());
+    const auto& entry = daemon.table->Entries()[decision->chosen.position];
+    request->engine = decision->chosen.position;
+    const auto uncached =
+        request->routing.prompt_tokens - decision->chosen.cached_tokens;
+    request->ticket =
+        DispatchTicket::Begin(entry.load, uncached, events_.Now());
+    daemon.prefixes->RecordPrompt(request->routing.blocks, entry.slot,
+                                  events_.Now());
+    const auto way = FromSeconds(entry.zone_ms / 1000);
+    request->on_first_token = [this, weak = request.get(), way] {
+      weak->ticket->FirstToken();
+      Record(*weak, way);
+    };
+    request->on_end = [weak = request.get(), end = request->on_end] {
+      weak->ticket.reset();
+      end();
+    };
+    events_.After(
+        way, [this, request] { engines_[request->engine]->Submit(request); });
+  }
+
+  auto Record(const SimulatedRequest& request, Duration way) -> void {
+    Sample sample;
+    sample.arrival = request.arrival;
+    sample.first_token_ms =
+        ToSeconds(events_.Now() + way - request.arrival) * 1000;
+    sample.prompt_tokens = request.routing.prompt_tokens.Value();
+    sample.cached_tokens = request.cached_tokens;
+    samples_.push_back(sample);
+  }
+
+  // Requests that arrive in the last 5 s are left out, since they may be
+  // unfinished for no fault of the policy.
+  auto Counts(Timestamp arrival) const -> bool {
+    return arrival >= Timestamp(options_.warm_up) &&
+           arrival < Timestamp(options_.length - std::chrono::seconds(5));
+  }
+
+  auto Summarise() const -> SimulationResult {
+    constexpr double kTargetMs = 570;
+    std::vector<double> times;
+    double prompt = 0;
+    double cached = 0;
+    double attained = 0;
+    for (const auto& sample : samples_) {
+      if (!Counts(sample.arrival)) continue;
+      times.push_back(sample.first_token_ms);
+      prompt += static_cast<double>(sample.prompt_tokens);
+      cached += static_cast<double>(sample.cached_tokens);
+      attained += sample.first_token_ms <= kTargetMs ? 1 : 0;
+    }
+    std::sort(times.begin(), times.end());
+    SimulationResult result;
+    result.first_token_median_ms = times[times.size() / 2];
+    result.first_token_p95_ms = times[times.size() * 95 / 100];
+    result.attainment = attained / static_cast<double>(times.size());
+    result.hit_rate = cached / prompt;
+    result.imbalance = imbalance_sum_ / static_cast<double>(imbalance_count_);
+    return result;
+  }
+
+  SimulationOptions options_;
+  EventList events_;
+  Random random_;
+  Workload workload_;
+  ServingDocument document_;
+  std::vector<std::unique_ptr<SimulatedEngine>> engines_;
+  std::vector<std::int64_t> sequences_;
+  std::vector<Daemon> daemons_;
+  std::vector<Sample> samples_;
+  double imbalance_sum_ = 0;
+  std::int64_t imbalance_count_ = 0;
+};
+
+}  // namespace dotterellug::simulation
--- a/modules/routing/policy/expected_cost.cc
+++ b/modules/routing/policy/expected_cost.cc
@@ -58,10 +58,7 @@
                                          request.tokens_per_block.Value()));
   const auto uncached = request.prompt_tokens - scored.cached_tokens;
   scored.cost.queue_ms = load.queued_tokens / load.prefill_tokens_per_ms;
-  if (load.excess_requests > 0) {
-    scored.cost.batch_ms = load.excess_requests * load.mean_service_ms /
-                           static_cast<double>(load.max_running);
-  }
+  scored.cost.contention_ms = load.outstanding * policy.ms_per_outstanding;
   // A decode engine gets the KV cache handed over.
   if (request.stage != RequestStage::kDecode) {
     scored.cost.prefill_ms =
--- a/modules/routing/policy/policy.h
+++ b/modules/routing/policy/policy.h
@@ -16,6 +16,10 @@
   std::size_t prefix_candidates = 2;
   // Time to load an adapter that is not resident.
   double adapter_load_ms = 7.0;
+  // Expected wait that each request in the engine stands for. Queues change
+  // faster than reports arrive, but the number of requests in the engine does
+  // not, and it is proportional to the rate at which prompts arrive there.
+  double ms_per_outstanding = 3.0;
 };
 
 // Baselines. They use only this daemon's own requests in flight.
--- a/modules/routing/policy/router.h
+++ b/modules/routing/policy/router.h
@@ -31,8 +31,8 @@
 struct CostComponents {
   // Prefill of the requests ahead.
   double queue_ms = 0;
-  // Wait for a place in a full batch.
-  double batch_ms = 0;
+  // Expected wait for the prompts that arrive before it at the engine's rate.
+  double contention_ms = 0;
   // Prefill of this request's tokens that are not cached.
   double prefill_ms = 0;
   double adapter_ms = 0;
@@ -40,7 +40,7 @@
   double zone_ms = 0;
 
   auto Total() const -> double {
-    return queue_ms + batch_ms + prefill_ms + adapter_ms + zone_ms;
+    return queue_ms + contention_ms + prefill_ms + adapter_ms + zone_ms;
   }
 };
 
--- a/modules/routing/prefix/cache_events.h
+++ b/modules/routing/prefix/cache_events.h
@@ -33,7 +33,7 @@
 // Applies the engines' cache events to a PrefixIndex. Used by the control
 // thread only. Events may be late, repeated, reordered or missing: a missing
 // `stored` hides a hit until deeper blocks are seen, a missing `removed` leaves
-// a false hit until the engine's answer corrects it or it becomes too old.
+// a false hit until it becomes too old or the next prompt makes it true.
 class CacheEventApplier {
  public:
   explicit CacheEventApplier(PrefixIndex& index) : index_(index) {}
--- a/modules/routing/prefix/prefix_index.cc
+++ b/modules/routing/prefix/prefix_index.cc
@@ -123,11 +123,6 @@
   for (const auto block : blocks) Insert(block, slot, now);
 }
 
-auto PrefixIndex::CorrectPrompt(const BlockHashes& blocks, UpstreamSlot slot,
-                                std::size_t cached_blocks) -> void {
-  for (auto i = cached_blocks; i < blocks.size(); ++i) Remove(blocks[i], slot);
-}
-
 auto PrefixIndex::Lookup(const BlockHashes& blocks, Timestamp now) const
     -> PrefixMatches {
   // The buckets are far apart in memory; fetching them together hides most of
--- a/modules/routing/prefix/prefix_index.h
+++ b/modules/routing/prefix/prefix_index.h
@@ -52,10 +52,6 @@
   // Notes a prompt that was sent to the upstream, which will cache it.
   auto RecordPrompt(const BlockHashes& blocks, UpstreamSlot slot, Timestamp now)
       -> void;
-  // Corrects the estimate after the upstream stated how many of the blocks it
-  // found in its cache; removes the deeper ones that were believed.
-  auto CorrectPrompt(const BlockHashes& blocks, UpstreamSlot slot,
-                     std::size_t cached_blocks) -> void;
 
   auto Lookup(const BlockHashes& blocks, Timestamp now) const -> PrefixMatches;
 
--- a/modules/routing/table/upstream_load.h
+++ b/modules/routing/table/upstream_load.h
@@ -15,10 +15,8 @@
   // Prompt tokens ahead of a new request.
   double queued_tokens = 0;
   double prefill_tokens_per_ms = 1;
-  // Requests beyond the engine's batch, the new one included; 0 if it fits.
-  double excess_requests = 0;
-  double mean_service_ms = 0;
-  std::int64_t max_running = 0;
+  // Requests in the engine, of all daemons.
+  double outstanding = 0;
 };
 
 // Load counters of one upstream: its last report, what this daemon has sent
@@ -54,36 +52,34 @@
   auto Estimate(Timestamp now) const -> LoadEstimate;
 
  private:
-  // Sends are kept per interval, so that those after the moment of a late
-  // report can be told from those before. Reports later than the whole span
-  // (3.2 s) count the sends of the span only.
+  // This daemon's part of the load is kept per interval, so that it can be
+  // taken out of a late report. Reports later than the whole span (3.2 s) use
+  // the part of now.
   static constexpr std::int64_t kIntervalMicroseconds = 50'000;
   static constexpr std::size_t kIntervals = 64;
 
-  struct Sent {
+  // Requests in flight and waiting prompt tokens of this daemon.
+  struct Own {
     std::int64_t requests = 0;
     std::int64_t tokens = 0;
   };
 
-  auto RecordSend(std::int64_t tokens, Timestamp now) -> void;
-  auto SentAfter(Timestamp moment) const -> Sent;
+  auto RecordOwn(const Own& own, Timestamp now) -> void;
+  // The last record at or before the moment.
+  auto OwnAt(Timestamp moment) const -> Own;
 
   std::atomic<std::int64_t> allowance_;
   std::atomic<std::int64_t> in_flight_{0};
   std::atomic<std::int64_t> own_waiting_tokens_{0};
-  std::atomic<std::int64_t> sent_requests_{0};
-  std::atomic<std::int64_t> sent_tokens_{0};
-  // Values of the two counters above at the moment of the last report.
-  std::atomic<std::int64_t> reported_sent_requests_{0};
-  std::atomic<std::int64_t> reported_sent_tokens_{0};
+  // The two above at the moment of the last report.
+  std::atomic<std::int64_t> own_at_report_requests_{0};
+  std::atomic<std::int64_t> own_at_report_tokens_{0};
 
   std::atomic<std::int64_t> measured_at_{INT64_MIN};
   std::atomic<std::int64_t> reported_tokens_{0};
   std::atomic<std::int64_t> reported_requests_{0};
-  std::atomic<std::int64_t> max_running_{0};
   // Assumed until the first report states the engine's speed.
   std::atomic<double> prefill_tokens_per_ms_{8.0};
-  std::atomic<double> mean_service_ms_{0.0};
 
   // Per interval: number of the interval (24 bits), requests (16), tokens (24).
   std::array<std::atomic<std::uint64_t>, kIntervals> intervals_{};
--- a/modules/routing/table/upstream_status.h
+++ b/modules/routing/table/upstream_status.h
@@ -24,12 +24,8 @@
   // Prompt tokens whose prefill has not been done, without cached ones.
   Tokens waiting_tokens;
   std::int64_t running_requests = 0;
-  // Requests that the engine batches at once; 0 if not stated.
-  std::int64_t max_running = 0;
   // Prefill speed; 0 if not stated, which keeps the earlier value.
   double prefill_tokens_per_ms = 0;
-  // Mean time from start to end of a request; 0 if not stated.
-  double mean_service_ms = 0;
 };
 
 // The state of one upstream as the control thread knows it, for the next
