--- /dev/null
+++ b/modules/admission/benchmarks/admission_fairness.cc
@@ -0,0 +1,336 @@
+// Compares AdmissionQueue with one first-in-first-out queue of the same length
+// in a simulated server of 16 places and 100,000 tokens per second, and prints
+// CSV with the medians over the seeds given as arguments (default 1 to 5).
+//
+// Scenario `alone`: 5 accounts send 90% of their part of the capacity.
+// Scenario `five_fold`: the first account sends five times that.
+// Scenario `batch`: interactive and standard work need 105% of the capacity,
+// batch work 10% in addition; the stated age of batch is 60 s.
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "admission/admission.h"
+#include "core/core.h"
+
+namespace dotterellug {
+namespace {
+
+constexpr double kTokensPerSecond = 100'000;
+constexpr int kPlaces = 16;
+constexpr double kMeanCost = 800;
+constexpr std::size_t kAccounts = 5;
+constexpr Duration kLength = std::chrono::seconds(600);
+constexpr std::size_t kQueueLength = 2000;
+
+// First-in-first-out baseline; requests past their latest start are dropped at
+// the head.
+class FifoQueue {
+ public:
+  auto Enqueue(const QueuedRequest& request, Timestamp /*now*/)
+      -> std::vector<Refusal> {
+    if (requests_.size() >= kQueueLength) return {Refuse(request)};
+    requests_.push_back(request);
+    return {};
+  }
+  auto StartNext(Timestamp now) -> StartResult {
+    StartResult result;
+    while (!requests_.empty() && !result.request) {
+      auto request = requests_.front();
+      requests_.pop_front();
+      if (request.LatestStart() < now) {
+        result.expired.push_back(Refuse(request));
+      } else {
+        result.request = request;
+      }
+    }
+    return result;
+  }
+
+ private:
+  static auto Refuse(const QueuedRequest& request) -> Refusal {
+    Refusal refusal;
+    refusal.account = request.account;
+    refusal.priority = request.priority;
+    return refusal;
+  }
+
+  std::deque<QueuedRequest> requests_;
+};
+
+class FairQueue {
+ public:
+  explicit FairQueue(const AdmissionOptions& options) : queue_(options) {}
+
+  auto Enqueue(const QueuedRequest& request, Timestamp now)
+      -> std::vector<Refusal> {
+    auto result = queue_.Enqueue(request, now);
+    if (!result.outcome) result.shed.push_back(result.outcome.error());
+    return result.shed;
+  }
+  auto StartNext(Timestamp now) -> StartResult { return queue_.StartNext(now); }
+
+ private:
+  AdmissionQueue queue_;
+};
+
+using Queue = std::variant<FifoQueue, FairQueue>;
+
+// One stream of Poisson arrivals.
+struct Source {
+  std::size_t account = 0;
+  PriorityClass priority = PriorityClass::kStandard;
+  // Part of the whole capacity that it asks for.
+  double load = 0;
+  double deadline_seconds = 10;
+};
+
+struct Tally {
+  std::int64_t arrived = 0;
+  std::int64_t refused = 0;
+  std::int64_t started = 0;
+  double tokens = 0;
+  double oldest_seconds = 0;
+  std::vector<double> waits;
+};
+
+using Key = std::pair<std::size_t, PriorityClass>;
+using Tallies = std::map<Key, Tally>;
+
+auto AccountName(std::size_t account) -> ClientAccountId {
+  return ClientAccountId("account" + std::to_string(account));
+}
+
+// Places that are busy until a moment, and the queue before them.
+class Server {
+ public:
+  Server(Queue queue, std::vector<Source> sources, std::uint64_t seed)
+      : queue_(std::move(queue)),
+        sources_(std::move(sources)),
+        random_(seed),
+        places_(kPlaces) {
+    for (std::size_t i = 0; i < kAccounts; ++i) accounts_[AccountName(i)] = i;
+    for (const auto& source : sources_) next_.push_back(Gap(source));
+  }
+
+  auto Run() -> Tallies {
+    for (;;) {
+      const auto source = static_cast<std::size_t>(
+          std::min_element(next_.begin(), next_.end()) - next_.begin());
+      const auto place = std::min_element(places_.begin(), places_.end());
+      const auto now = std::max(now_, *place);
+      if (waiting_ && now <= next_[source]) {
+        Start(*place, now);
+        continue;
+      }
+      if (next_[source] > Timestamp(kLength)) return tallies_;
+      now_ = next_[source];
+      Arrive(sources_[source]);
+      next_[source] += Gap(sources_[source]).time_since_epoch();
+    }
+  }
+
+ private:
+  auto Gap(const Source& source) -> Timestamp {
+    const auto rate = source.load * kTokensPerSecond / kMeanCost;
+    return Timestamp(FromSeconds(random_.Exponential(1 / rate)));
+  }
+
+  auto Cost() -> Tokens {
+    const auto u = 1 - random_.Uniform();
+    const auto v = random_.Uniform();
+    const auto normal = std::sqrt(-2 * std::log(u)) * std::cos(2 * M_PI * v);
+    return Tokens(1 + static_cast<std::int64_t>(
+                          std::min(kMeanCost * std::exp(normal - 0.5), 2e4)));
+  }
+
+  auto Arrive(const Source& source) -> void {
+    QueuedRequest request;
+    request.account = AccountName(source.account);
+    request.priority = source.priority;
+    request.cost = Cost();
+    request.arrival = now_;
+    request.deadline = now_ + FromSeconds(source.deadline_seconds);
+    ++tallies_[{source.account, source.priority}].arrived;
+    Refuse(std::visit([&](auto& queue) { return queue.Enqueue(request, now_); },
+                      queue_));
+    waiting_ = true;
+  }
+
+  auto Start(Timestamp& place, Timestamp now) -> void {
+    now_ = now;
+    const auto result =
+        std::visit([&](auto& queue) { return queue.StartNext(now); }, queue_);
+    Refuse(result.expired);
+    waiting_ = result.request.has_value();
+    if (!result.request) return;
+    const auto& request = *result.request;
+    auto& tally = tallies_[{accounts_.at(request.account), request.priority}];
+    const auto wait = ToSeconds(now - request.arrival);
+    ++tally.started;
+    tally.tokens += static_cast<double>(request.cost.Value());
+    tally.oldest_seconds = std::max(tally.oldest_seconds, wait);
+    tally.waits.push_back(wait);
+    place = now + FromSeconds(static_cast<double>(request.cost.Value()) *
+                              kPlaces / kTokensPerSecond);
+  }
+
+  auto Refuse(const std::vector<Refusal>& refusals) -> void {
+    for (const auto& refusal : refusals) {
+      ++tallies_[{accounts_.at(refusal.account), refusal.priority}].refused;
+    }
+  }
+
+  Queue queue_;
+  std::vector<Source> sources_;
+  Random random_;
+  std::vector<Timestamp> places_;
+  std::vector<Timestamp> next_;
+  std::map<ClientAccountId, std::size_t> accounts_;
+  Timestamp now_{};
+  // Whether the queue may hold a request.
+  bool waiting_ = false;
+  Tallies tallies_;
+};
+
+auto Median(std::vector<double> values) -> double {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+auto FairnessSources(double first_account_times) -> std::vector<Source> {
+  std::vector<Source> sources;
+  for (std::size_t i = 0; i < kAccounts; ++i) {
+    const double times = i == 0 ? first_account_times : 1;
+    sources.push_back(
+        Source{i, PriorityClass::kStandard, times * 0.9 / kAccounts, 10});
+  }
+  return sources;
+}
+
+auto BatchSources() -> std::vector<Source> {
+  std::vector<Source> sources;
+  for (std::size_t i = 0; i < kAccounts; ++i) {
+    sources.push_back(
+        Source{i, PriorityClass::kInteractive, 0.75 / kAccounts, 10});
+    sources.push_back(
+        Source{i, PriorityClass::kStandard, 0.30 / kAccounts, 30});
+    sources.push_back(Source{i, PriorityClass::kBatch, 0.10 / kAccounts, 3600});
+  }
+  return sources;
+}
+
+auto MakeQueue(const std::string& name) -> Queue {
+  AdmissionOptions options;
+  options.class_requests = kQueueLength;
+  options.total_requests = kQueueLength;
+  options.batch_max_age = std::chrono::seconds(60);
+  if (name == "fifo") return FifoQueue{};
+  if (name == "fair_without_aging") options.batch_max_age = kLength * 10;
+  return FairQueue(options);
+}
+
+// Of the accounts but the first: the least part of requests started, the
+// largest part refused, and the largest median wait.
+auto PrintFairness(const char* scenario, double times, const char* name,
+                   const std::vector<std::uint64_t>& seeds) -> void {
+  std::vector<double> served;
+  std::vector<double> refused;
+  std::vector<double> waits;
+  std::vector<double> first;
+  for (const auto seed : seeds) {
+    const auto tallies =
+        Server(MakeQueue(name), FairnessSources(times), seed).Run();
+    double least = 1;
+    double most = 0;
+    double wait = 0;
+    for (const auto& [key, tally] : tallies) {
+      const auto arrived = static_cast<double>(tally.arrived);
+      const auto part = static_cast<double>(tally.started) / arrived;
+      if (key.first == 0) {
+        first.push_back(part);
+        continue;
+      }
+      least = std::min(least, part);
+      most = std::max(most, static_cast<double>(tally.refused) / arrived);
+      wait = std::max(wait, Median(tally.waits));
+    }
+    served.push_back(least);
+    refused.push_back(most);
+    waits.push_back(wait);
+  }
+  std::printf("%s,%s,%.4f,%.4f,%.3f,%.3f\n", scenario, name, Median(served),
+              Median(refused), Median(waits), Median(first));
+}
+
+auto PrintBatch(const char* name, const std::vector<std::uint64_t>& seeds)
+    -> void {
+  std::array<std::vector<double>, kPriorityClasses> started;
+  std::array<std::vector<double>, kPriorityClasses> waits;
+  std::vector<double> batch_tokens;
+  std::vector<double> oldest;
+  for (const auto seed : seeds) {
+    const auto tallies = Server(MakeQueue(name), BatchSources(), seed).Run();
+    std::array<Tally, kPriorityClasses> classes;
+    for (const auto& [key, tally] : tallies) {
+      auto& sum = classes[static_cast<std::size_t>(key.second)];
+      sum.arrived += tally.arrived;
+      sum.started += tally.started;
+      sum.tokens += tally.tokens;
+      sum.oldest_seconds = std::max(sum.oldest_seconds, tally.oldest_seconds);
+      sum.waits.insert(sum.waits.end(), tally.waits.begin(), tally.waits.end());
+    }
+    for (std::size_t i = 0; i < kPriorityClasses; ++i) {
+      started[i].push_back(static_cast<double>(classes[i].started) /
+                           static_cast<double>(classes[i].arrived));
+      waits[i].push_back(Median(classes[i].waits));
+    }
+    batch_tokens.push_back(classes[2].tokens /
+                           (kTokensPerSecond * ToSeconds(kLength)));
+    oldest.push_back(classes[2].oldest_seconds);
+  }
+  std::printf("batch,%s,%.3f,%.3f,%.3f,%.3f,%.3f,%.3f,%.1f\n", name,
+              Median(started[0]), Median(waits[0]), Median(started[1]),
+              Median(waits[1]), Median(started[2]), Median(batch_tokens),
+              Median(oldest));
+}
+
+}  // namespace
+}  // namespace dotterellug
+
+auto main(int argc, char** argv) -> int {
+  std::vector<std::uint64_t> seeds;
+  for (int i = 1; i < argc; ++i) {
+    seeds.push_back(std::strtoull(argv[i], nullptr, 10));
+  }
+  if (seeds.empty()) seeds = {1, 2, 3, 4, 5};
+  std::printf("# seeds:");
+  for (const auto seed : seeds) {
+    std::printf(" %llu", static_cast<unsigned long long>(seed));
+  }
+  std::printf(
+      "\nscenario,queue,worst_other_started,worst_other_refused,"
+      "worst_other_median_wait_s,first_account_started\n");
+  for (const auto* name : {"fifo", "fair"}) {
+    dotterellug::PrintFairness("alone", 1, name, seeds);
+    dotterellug::PrintFairness("five_fold", 5, name, seeds);
+  }
+  std::printf(
+      "scenario,queue,interactive_started,interactive_median_wait_s,"
+      "standard_started,standard_median_wait_s,batch_started,"
+      "batch_capacity_part,batch_longest_wait_s\n");
+  for (const auto* name : {"fifo", "fair_without_aging", "fair"}) {
+    dotterellug::PrintBatch(name, seeds);
+  }
+  return 0;
+}
--- a/modules/admission/queue/admission_queue.cc
+++ b/modules/admission/queue/admission_queue.cc
@@ -10,6 +10,10 @@
     PriorityClass::kInteractive, PriorityClass::kStandard,
     PriorityClass::kBatch};
 
+// Estimates vary by some percent. A wait close to the deadline counts as too
+// long, because a refusal at once is better than one after the whole wait.
+auto Cautious(Duration wait) -> Duration { return wait + wait / 20; }
+
 auto Index(PriorityClass priority) -> std::size_t {
   return static_cast<std::size_t>(priority);
 }
@@ -46,9 +50,9 @@
 auto AdmissionQueue::StartNext(Timestamp now) -> StartResult {
   StartResult result;
   result.expired = Expire(now);
-  result.request = TakeForStart(now);
+  result.request = TakeAged(now);
+  if (!result.request) result.request = TakeByWeight(now);
   if (result.request) {
-    ChargeClass(result.request->priority, result.request->cost);
     drain_rate_.Started(result.request->cost, TotalWaiting() > 0, now);
   }
   return result;
@@ -82,7 +86,12 @@
 
 auto AdmissionQueue::ExpectedWait(const QueuedRequest& request) const
     -> std::optional<Duration> {
-  return WaitBehind(request, Queue(request.priority).QueuedOf(request.account));
+  const auto& queue = Queue(request.priority);
+  const auto wait = WaitBehind(request, queue.QueuedOf(request.account));
+  if (!wait) return std::nullopt;
+  // What waits now says nothing about what others send meanwhile; the account's
+  // own pace does.
+  return std::max(*wait, queue.WaitAtOwnPace(request.account));
 }
 
 auto AdmissionQueue::WaitBehind(const QueuedRequest& request,
@@ -112,13 +121,15 @@
     -> Duration {
   const auto without_own = WaitBehind(request, Tokens());
   // Every start brings the request forward while its account has others ahead.
-  if (without_own && *without_own <= allowed) return wait - allowed;
+  if (without_own && Cautious(*without_own) <= allowed) {
+    return Cautious(wait) - allowed;
+  }
   // Otherwise the other accounts' turns take too long until they run empty.
   Tokens queued;
   for (const auto& queue : queues_) queued += queue.QueuedTokens();
   const auto drained = FromSeconds(static_cast<double>(queued.Value()) /
                                    *drain_rate_.TokensPerSecond());
-  return std::max(wait, drained) - allowed;
+  return Cautious(std::max(wait, drained)) - allowed;
 }
 
 auto AdmissionQueue::Queue(PriorityClass priority) -> ClassQueue& {
@@ -144,10 +155,11 @@
     return refusal;
   }
   const auto wait = ExpectedWait(request);
-  if (!wait || now + *wait <= request.LatestStart()) return std::nullopt;
+  if (!wait) return std::nullopt;
+  const auto allowed = request.LatestStart() - now;
+  if (Cautious(*wait) <= allowed) return std::nullopt;
   auto refusal = Refuse(request, RefusalReason::kDeadlineUnreachable);
-  refusal.retry_after =
-      TimeUntilWaitIs(request, *wait, request.LatestStart() - now);
+  refusal.retry_after = TimeUntilWaitIs(request, *wait, allowed);
   return refusal;
 }
 
@@ -208,14 +220,27 @@
   return next;
 }
 
-auto AdmissionQueue::TakeForStart(Timestamp now)
-    -> std::optional<QueuedRequest> {
-  if (OldestAge(PriorityClass::kBatch, now) >= options_.batch_max_age) {
-    if (auto aged = Queue(PriorityClass::kBatch).TakeOldest()) return aged;
+auto AdmissionQueue::TakeAged(Timestamp now) -> std::optional<QueuedRequest> {
+  if (OldestAge(PriorityClass::kBatch, now) < options_.batch_max_age) {
+    return std::nullopt;
   }
+  auto request = Queue(PriorityClass::kBatch).TakeOldest(now);
+  if (!request) return std::nullopt;
+  // Standard work yields for it: charged to batch alone, aged work would take
+  // its time from interactive work as well.
+  const bool standard_waits = Waiting(PriorityClass::kStandard) > 0;
+  ChargeClass(standard_waits ? PriorityClass::kStandard : PriorityClass::kBatch,
+              request->cost);
+  return request;
+}
+
+auto AdmissionQueue::TakeByWeight(Timestamp now)
+    -> std::optional<QueuedRequest> {
   const auto next = NextClass();
   if (!next) return std::nullopt;
-  return Queue(*next).TakeNext();
+  auto request = Queue(*next).TakeNext(now);
+  if (request) ChargeClass(*next, request->cost);
+  return request;
 }
 
 auto AdmissionQueue::ChargeClass(PriorityClass priority, Tokens cost) -> void {
--- a/modules/admission/queue/admission_queue.h
+++ b/modules/admission/queue/admission_queue.h
@@ -88,7 +88,8 @@
   auto Refuse(const QueuedRequest& request, RefusalReason reason) const
       -> Refusal;
   auto NextClass() const -> std::optional<PriorityClass>;
-  auto TakeForStart(Timestamp now) -> std::optional<QueuedRequest>;
+  auto TakeAged(Timestamp now) -> std::optional<QueuedRequest>;
+  auto TakeByWeight(Timestamp now) -> std::optional<QueuedRequest>;
   auto ChargeClass(PriorityClass priority, Tokens cost) -> void;
 
   AdmissionOptions options_;
--- a/modules/admission/queue/class_queue.cc
+++ b/modules/admission/queue/class_queue.cc
@@ -16,7 +16,7 @@
   requests_.emplace(ticket, std::move(request));
 }
 
-auto ClassQueue::TakeNext() -> std::optional<QueuedRequest> {
+auto ClassQueue::TakeNext(Timestamp now) -> std::optional<QueuedRequest> {
   while (!turns_.empty()) {
     auto& account = accounts_.at(turns_.front());
     if (!turn_granted_) {
@@ -27,18 +27,18 @@
     const auto cost = requests_.at(ticket).cost;
     if (cost <= account.deficit) {
       account.deficit -= cost;
-      return Take(ticket);
+      return Start(ticket, now);
     }
     EndTurn();
   }
   return std::nullopt;
 }
 
-auto ClassQueue::TakeOldest() -> std::optional<QueuedRequest> {
+auto ClassQueue::TakeOldest(Timestamp now) -> std::optional<QueuedRequest> {
   if (requests_.empty()) return std::nullopt;
   const auto& [ticket, request] = *requests_.begin();
   accounts_.at(request.account).deficit -= request.cost;
-  return Take(ticket);
+  return Start(ticket, now);
 }
 
 auto ClassQueue::Remove(QueueTicket ticket) -> std::optional<QueuedRequest> {
@@ -93,6 +93,15 @@
   return found == accounts_.end() ? Tokens() : found->second.queued;
 }
 
+auto ClassQueue::WaitAtOwnPace(const ClientAccountId& account) const
+    -> Duration {
+  const auto found = accounts_.find(account);
+  if (found == accounts_.end()) return Duration(0);
+  const auto rate = found->second.pace.TokensPerSecond();
+  if (!rate) return Duration(0);
+  return FromSeconds(static_cast<double>(found->second.queued.Value()) / *rate);
+}
+
 auto ClassQueue::TokensUntilServed(const ClientAccountId& account,
                                    std::int64_t weight, Tokens own) const
     -> double {
@@ -107,6 +116,13 @@
   return total;
 }
 
+auto ClassQueue::Start(QueueTicket ticket, Timestamp now) -> QueuedRequest {
+  const auto& request = requests_.at(ticket);
+  auto& account = accounts_.at(request.account);
+  account.pace.Started(request.cost, account.tickets.size() > 1, now);
+  return Take(ticket);
+}
+
 auto ClassQueue::Take(QueueTicket ticket) -> QueuedRequest {
   const auto found = requests_.find(ticket);
   auto request = std::move(found->second);
--- a/modules/admission/queue/class_queue.h
+++ b/modules/admission/queue/class_queue.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "admission/queue/drain_rate.h"
 #include "admission/queue/queued_request.h"
 
 namespace dotterellug {
@@ -22,10 +23,10 @@
 
   auto Add(QueueTicket ticket, QueuedRequest request) -> void;
   // Takes the request whose turn it is; nothing when the queue is empty.
-  auto TakeNext() -> std::optional<QueuedRequest>;
+  auto TakeNext(Timestamp now) -> std::optional<QueuedRequest>;
   // Takes the request that has waited longest, out of turn; it is charged to
   // its account.
-  auto TakeOldest() -> std::optional<QueuedRequest>;
+  auto TakeOldest(Timestamp now) -> std::optional<QueuedRequest>;
   // Removes a request; nothing when it does not wait here.
   auto Remove(QueueTicket ticket) -> std::optional<QueuedRequest>;
   // Removes the last request of an account.
@@ -43,6 +44,10 @@
   auto LongestAccount(const ClientAccountId* arriving,
                       std::int64_t weight) const -> ClientAccountId;
   auto QueuedOf(const ClientAccountId& account) const -> Tokens;
+  // Time until the account's waiting requests have started at the pace that it
+  // had lately, which includes what others send meanwhile; zero while that pace
+  // is not known.
+  auto WaitAtOwnPace(const ClientAccountId& account) const -> Duration;
   // Tokens of this class that start until the account has started `own` tokens,
   // if the accounts take turns by weight.
   auto TokensUntilServed(const ClientAccountId& account, std::int64_t weight,
@@ -54,8 +59,10 @@
     Tokens queued;
     Tokens deficit;
     std::int64_t weight = 1;
+    DrainRate pace;
   };
 
+  auto Start(QueueTicket ticket, Timestamp now) -> QueuedRequest;
   auto Take(QueueTicket ticket) -> QueuedRequest;
   auto EndTurn() -> void;
 
--- a/modules/admission/tests/admission_tests.cc
+++ b/modules/admission/tests/admission_tests.cc
@@ -187,6 +187,22 @@
               5);
 }
 
+// Guards against aged batch work that takes its time from interactive work.
+TEST(Fairness, StandardYieldsForAgedBatch) {
+  AdmissionQueue queue(AdmissionOptions{});
+  for (int i = 0; i < 10; ++i) {
+    queue.Enqueue(Request("a", kBatch, At(0)), At(0));
+  }
+  for (int i = 0; i < 100; ++i) {
+    queue.Enqueue(Request("a", kInteractive, At(599'000)), At(599'000));
+    queue.Enqueue(Request("a", kStandard, At(599'000)), At(599'000));
+  }
+  for (int i = 0; i < 40; ++i) {
+    const auto request = queue.StartNext(At(600'000)).request;
+    EXPECT_EQ(request->priority, i < 10 ? kBatch : kInteractive) << i;
+  }
+}
+
 // Guards against shedding a class above the lowest, or the oldest first.
 TEST(Shedding, LowestClassLastInFirst) {
   AdmissionOptions options;
@@ -282,6 +298,28 @@
   EXPECT_TRUE(accepted().has_value());
 }
 
+// Guards against refusals only after the whole wait, when other accounts keep
+// sending and an account gets less than the whole pace.
+TEST(Deadlines, CompetitionIsForeseen) {
+  AdmissionQueue queue(AdmissionOptions{});
+  int early = 0;
+  int late = 0;
+  Random random(1);
+  // A request starts every 10 ms; until then three others send 0.2 requests
+  // each and the big account 0.9.
+  for (std::int64_t now = 0; now < 500'000; now += 10) {
+    for (const auto* account : {"x", "y", "z", "big"}) {
+      if (random.Uniform() > (account[0] == 'b' ? 0.9 : 0.2)) continue;
+      const auto result = queue.Enqueue(
+          Request(account, kStandard, At(now), 100, 5000), At(now));
+      early += result.outcome ? 0 : 1;
+    }
+    late += static_cast<int>(queue.StartNext(At(now)).expired.size());
+  }
+  EXPECT_GT(early, 5000);
+  EXPECT_LT(late, early / 20);
+}
+
 // Guards against starts after the deadline and against refusals without need.
 TEST(Deadlines, TableOfCases) {
   struct Case {
