Split the commit steps of dotterellugctl into functions

Cause: Two functions did preview and commit in one body of over 40 lines.

Change: CommitChange and CommitText hold the commit steps.

Conclusion: none.

--- a/client/commands/change_section.cc
+++ b/client/commands/change_section.cc
@@ -27,6 +27,23 @@
   return text;
 }
 
+// Commits a section's text; empty when another edit of the section won.
+auto CommitChange(const Invocation& invocation, Deployment& deployment,
+                  const PlannedChange& change, const RevisionRef& base,
+                  std::string text) -> std::optional<ExitCode> {
+  const auto& options = invocation.options;
+  const SectionChange commit{
+      RandomEditId(), base,
+      change.section, std::move(text),
+      options.author, options.reason.empty() ? change.reason : options.reason};
+  const auto outcome = deployment.Commit(commit);
+  if (!outcome) {
+    return ReportCommitFailure(invocation, outcome.error(), commit.id);
+  }
+  if (std::holds_alternative<EditConflict>(*outcome)) return std::nullopt;
+  return ReportCommitted(invocation, std::get<Committed>(*outcome));
+}
+
 // One attempt on the latest revision; empty when another edit won.
 auto TryChange(const Invocation& invocation, Deployment& deployment,
                const PlannedChange& change) -> std::optional<ExitCode> {
@@ -56,17 +73,8 @@
     invocation.err << "dry run: nothing was changed\n";
     return ExitCode::kDone;
   }
-  const auto& options = invocation.options;
-  const SectionChange commit{
-      RandomEditId(), head->ref,
-      change.section, std::move(*text),
-      options.author, options.reason.empty() ? change.reason : options.reason};
-  const auto outcome = deployment.Commit(commit);
-  if (!outcome) {
-    return ReportCommitFailure(invocation, outcome.error(), commit.id);
-  }
-  if (std::holds_alternative<EditConflict>(*outcome)) return std::nullopt;
-  return ReportCommitted(invocation, std::get<Committed>(*outcome));
+  return CommitChange(invocation, deployment, change, head->ref,
+                      std::move(*text));
 }
 
 }  // namespace
--- a/client/commands/section_commands.cc
+++ b/client/commands/section_commands.cc
@@ -174,6 +174,31 @@
   return ApplyInput{*section, std::move(based.text), *based.base};
 }
 
+auto CommitText(const Invocation& invocation, Deployment& deployment,
+                const ApplyInput& input, const DeployedDocument& base)
+    -> ExitCode {
+  const auto& options = invocation.options;
+  const SectionChange change{
+      EditIdOf(options),
+      base.ref,
+      input.section,
+      input.text,
+      options.author,
+      options.reason.empty()
+          ? "section apply " + std::string(NameOf(input.section))
+          : options.reason};
+  const auto outcome = deployment.Commit(change);
+  if (!outcome) {
+    return ReportCommitFailure(invocation, outcome.error(), change.id);
+  }
+  if (std::holds_alternative<Committed>(*outcome)) {
+    return ReportCommitted(invocation, std::get<Committed>(*outcome));
+  }
+  ReportConflict(invocation, deployment, base, input,
+                 std::get<EditConflict>(*outcome).latest);
+  return ExitCode::kFailed;
+}
+
 auto ApplyText(const Invocation& invocation, Deployment& deployment,
                const ApplyInput& input) -> ExitCode {
   const auto head = deployment.LoadHead();
@@ -202,26 +227,7 @@
     invocation.err << "dry run: nothing was changed\n";
     return ExitCode::kDone;
   }
-  const auto& options = invocation.options;
-  const SectionChange change{
-      EditIdOf(options),
-      *ref,
-      input.section,
-      input.text,
-      options.author,
-      options.reason.empty()
-          ? "section apply " + std::string(NameOf(input.section))
-          : options.reason};
-  const auto outcome = deployment.Commit(change);
-  if (!outcome) {
-    return ReportCommitFailure(invocation, outcome.error(), change.id);
-  }
-  if (std::holds_alternative<Committed>(*outcome)) {
-    return ReportCommitted(invocation, std::get<Committed>(*outcome));
-  }
-  ReportConflict(invocation, deployment, *base, input,
-                 std::get<EditConflict>(*outcome).latest);
-  return ExitCode::kFailed;
+  return CommitText(invocation, deployment, input, *base);
 }
 
 auto RunApply(const Invocation& invocation) -> ExitCode {
