--- a/client/tests/platform_commands_tests.cc
+++ b/client/tests/platform_commands_tests.cc
@@ -330,14 +330,15 @@
 // Guards against a program that differs from the commands tested above, such
 // as a flag that does not arrive or an address that is not used.
 TEST(PlatformProgramTest, WorksOverHttp) {
-  ObjectApiServer api(ObjectApiRates{});
-  const auto server = HttpServer::Start(
-      "127.0.0.1", 0,
-      [&api](const HttpRequest& request) { return api.Handle(request); });
+  standins::ObjectApiServer api(standins::ObjectApiRates{});
+  const auto server = standins::HttpServer::Start(
+      "127.0.0.1", 0, [&api](const standins::HttpRequest& request) {
+        return api.Handle(request);
+      });
   ASSERT_TRUE(server) << server.error().Text();
-  const auto daemon =
-      HttpServer::Start("127.0.0.1", 0, [](const HttpRequest& request) {
-        HttpReply reply;
+  const auto daemon = standins::HttpServer::Start(
+      "127.0.0.1", 0, [](const standins::HttpRequest& request) {
+        standins::HttpReply reply;
         reply.status = request.path == "/status" ? 200 : 404;
         reply.body = R"({"instance":"entry-1","revision":2})";
         return reply;
--- a/daemon/app/daemon.cc
+++ b/daemon/app/daemon.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "daemon/control/budget_service.h"
+#include "daemon/control/claim_service.h"
 #include "daemon/control/control_loop.h"
 #include "daemon/control/instance_list_reader.h"
 #include "daemon/control/peer_hub.h"
@@ -77,6 +78,7 @@
     store_reader_.reset();
     monitor_.reset();
     hub_.reset();
+    claims_.reset();
     budget_.reset();
   }
 
@@ -129,6 +131,7 @@
                        Duration& retry_after) {
           return budget_->Charge(account, amount, retry_after);
         });
+    handler_->SetClaims(claims_.get());
     auto server = HttpServer::Start(
         callers, [this](const auto& request, const auto& caller) {
           return handler_->Handle(request, caller);
@@ -154,7 +157,16 @@
           if (hub_ready_) hub_->SendBudget(to, message);
         },
         state_.metrics);
+    claims_ = std::make_unique<ClaimService>(
+        self_, std::make_unique<ObjectStore>(OpenStore()),
+        [this](const MemberId& to, const ClaimMessage& message) {
+          if (hub_ready_) hub_->SendClaim(to, message);
+        },
+        state_.metrics);
     PeerEvents events;
+    events.on_claim = [this](const ClaimMessage& message) {
+      claims_->OnMessage(message);
+    };
     events.on_budget = [this](const BudgetMessage& message) {
       budget_->OnMessage(message);
     };
@@ -163,8 +175,10 @@
     };
     events.on_gone = [this](const MemberId& member) {
       budget_->OnGone(member);
+      claims_->OnGone(member);
     };
     events.on_live = [this](std::set<MemberId> live) {
+      claims_->SetLiveMembers(live);
       budget_->SetLiveMembers(std::move(live));
     };
     events.on_proof = [this](RevisionNumber revision, Timestamp proved_at) {
@@ -305,6 +319,7 @@
             {"isolated", state_.isolated.load()},
             {"placement_owner", placement_->IsOwner()},
             {"budget_owner", budget_->IsOwner()},
+            {"claim_shards_owned", claims_->OwnedShards()},
             {"budgets", BudgetsStatus()},
             {"members", MembersStatus()},
             {"currency_age_ms",
@@ -324,6 +339,7 @@
   std::atomic<bool> started_{false};
   std::atomic<bool> stopping_{false};
   std::unique_ptr<BudgetService> budget_;
+  std::unique_ptr<ClaimService> claims_;
   std::unique_ptr<PeerHub> hub_;
   std::thread reporter_;
   std::unique_ptr<RequestHandler> handler_;
--- a/daemon/control/claim_service.cc
+++ b/daemon/control/claim_service.cc
@@ -40,8 +40,12 @@
       send_(std::move(send)),
       metrics_(metrics),
       self_(self) {
+  // A shard's log is one object of at most 1 MB, about 3,000 claims, so claims
+  // are kept for an hour only.
+  ClaimPolicy policy;
+  policy.retention = std::chrono::hours(1);
   for (std::size_t i = 0; i < kShards; ++i) {
-    parts_.emplace_back(ShardId("claims-" + std::to_string(i)), self);
+    parts_.emplace_back(ShardId("claims-" + std::to_string(i)), self, policy);
   }
   thread_ = std::thread([this] { Run(); });
 }
--- a/daemon/control/claim_service.h
+++ b/daemon/control/claim_service.h
@@ -36,7 +36,7 @@
 class ClaimService {
  public:
   using Send = std::function<auto(const MemberId&, const ClaimMessage&)->void>;
-  static constexpr std::size_t kShards = 8;
+  static constexpr std::size_t kShards = 16;
 
   ClaimService(const MemberId& self, std::unique_ptr<ObjectStore> store,
                Send send, Metrics& metrics);
@@ -58,8 +58,8 @@
 
  private:
   struct Part {
-    Part(const ShardId& id, const MemberId& self)
-        : id(id), shard(id, self), watch(id, self) {}
+    Part(const ShardId& id, const MemberId& self, const ClaimPolicy& policy)
+        : id(id), shard(id, self, policy), watch(id, self) {}
     ShardId id;
     ClaimShard shard;
     TakeOverWatch watch;
--- a/daemon/control/control_loop.cc
+++ b/daemon/control/control_loop.cc
@@ -150,9 +150,9 @@
   }
   if (isolated == state_.isolated) return;
   state_.isolated = isolated;
-  LogState(isolated ? LogSeverity::kError : LogSeverity::kInfo,
-           isolated ? "isolated; refusing keyed requests"
-                    : "no longer isolated");
+  LogState(
+      isolated ? LogSeverity::kError : LogSeverity::kInfo,
+      isolated ? "isolated; refusing keyed requests" : "no longer isolated");
 }
 
 auto ControlLoop::Tick() -> void {
--- a/daemon/control/demand_codec.cc
+++ b/daemon/control/demand_codec.cc
@@ -18,7 +18,8 @@
   try {
     ModelDemandReport report;
     report.instance = InstanceId(json.at("instance").get<std::string>());
-    report.incarnation = Incarnation(json.at("incarnation").get<std::int64_t>());
+    report.incarnation =
+        Incarnation(json.at("incarnation").get<std::int64_t>());
     report.sequence = json.at("sequence").get<std::int64_t>();
     for (const auto& [model, tokens] : json.at("models").items()) {
       report.models[ModelId(model)] = {
--- a/daemon/control/instance_list_reader.cc
+++ b/daemon/control/instance_list_reader.cc
@@ -20,8 +20,7 @@
     if (!entry.is_object()) return std::nullopt;
     ListedInstance instance;
     instance.id = InstanceId(entry.value("id", ""));
-    instance.zone =
-        AvailabilityZoneId(entry.value("availability_zone", ""));
+    instance.zone = AvailabilityZoneId(entry.value("availability_zone", ""));
     instance.address = entry.value("address", "");
     instance.leaving = entry.value("state", "") == "leaving";
     if (instance.leaving) list.leaving.insert(instance.id);
--- a/daemon/control/peer_hub.cc
+++ b/daemon/control/peer_hub.cc
@@ -4,6 +4,7 @@
 
 #include "daemon/control/demand_codec.h"
 #include "peer/codec/budget_codec.h"
+#include "peer/codec/claim_codec.h"
 #include "peer/codec/membership_codec.h"
 
 namespace dotterellug {
@@ -86,15 +87,27 @@
 auto PeerHub::Methods() -> PeerMethodTable {
   PeerMethodTable methods;
   for (const auto& name : BudgetMethods()) {
-    methods[name] = [this, name](const MemberId&,
-                                 const nlohmann::json& parameters)
-        -> Result<nlohmann::json> {
+    methods[name] =
+        [this, name](
+            const MemberId&,
+            const nlohmann::json& parameters) -> Result<nlohmann::json> {
       const auto message = DecodeBudgetMessage(name, parameters);
       if (!message) return tl::unexpected(message.error());
       events_.on_budget(*message);
       return nlohmann::json::object();
     };
   }
+  for (const auto& name : ClaimMethods()) {
+    methods[name] =
+        [this, name](
+            const MemberId&,
+            const nlohmann::json& parameters) -> Result<nlohmann::json> {
+      const auto message = DecodeClaimMessage(name, parameters);
+      if (!message) return tl::unexpected(message.error());
+      events_.on_claim(*message);
+      return nlohmann::json::object();
+    };
+  }
   methods[kDemandMethod] =
       [this](const MemberId&,
              const nlohmann::json& parameters) -> Result<nlohmann::json> {
@@ -178,9 +191,8 @@
   for (const auto& message : messages) {
     const auto address = ParseSocketAddress(message.address);
     if (!address) continue;
-    const auto sent =
-        datagrams_->Send({message.to, Incarnation(0)}, *address,
-                         EncodeMemberMessage(message.message));
+    const auto sent = datagrams_->Send({message.to, Incarnation(0)}, *address,
+                                       EncodeMemberMessage(message.message));
     if (!sent) metrics_.Count(Event::kPeerError);
   }
 }
@@ -200,6 +212,12 @@
   Enqueue({to, std::move(encoded.method), std::move(encoded.parameters)});
 }
 
+auto PeerHub::SendClaim(const MemberId& to, const ClaimMessage& message)
+    -> void {
+  auto encoded = EncodeClaimMessage(message);
+  Enqueue({to, std::move(encoded.method), std::move(encoded.parameters)});
+}
+
 auto PeerHub::SendDemand(const MemberId& to, const ModelDemandReport& report)
     -> void {
   Enqueue({to, kDemandMethod, EncodeDemand(report)});
@@ -224,10 +242,9 @@
       }
     }
     if (address) {
-      const auto result =
-          client_.Call({outgoing.to.instance, *address,
-                        outgoing.to.incarnation},
-                       outgoing.method, outgoing.parameters, kRequestLimit);
+      const auto result = client_.Call(
+          {outgoing.to.instance, *address, outgoing.to.incarnation},
+          outgoing.method, outgoing.parameters, kRequestLimit);
       if (!result) metrics_.Count(Event::kPeerError);
     }
     lock.lock();
@@ -260,8 +277,7 @@
   detector_.Leave();
 }
 
-auto PeerHub::ZonesHeardSince(Timestamp since)
-    -> std::set<AvailabilityZoneId> {
+auto PeerHub::ZonesHeardSince(Timestamp since) -> std::set<AvailabilityZoneId> {
   const std::lock_guard lock(mutex_);
   return detector_.Table().ZonesHeardSince(since);
 }
--- a/daemon/control/peer_hub.h
+++ b/daemon/control/peer_hub.h
@@ -15,6 +15,7 @@
 #include "budget/budget.h"
 #include "core/core.h"
 #include "daemon/control/control_event.h"
+#include "idempotency/idempotency.h"
 #include "membership/membership.h"
 #include "peer/peer.h"
 #include "placement/placement.h"
@@ -26,6 +27,7 @@
 // What this daemon learns from other daemons. Called on threads of the hub.
 struct PeerEvents {
   std::function<auto(const BudgetMessage&)->void> on_budget;
+  std::function<auto(const ClaimMessage&)->void> on_claim;
   std::function<auto(const ModelDemandReport&)->void> on_demand;
   // The process is dead; what it held can be reclaimed.
   std::function<auto(const MemberId&)->void> on_gone;
@@ -54,6 +56,7 @@
 
   // Queues a message; it may be lost. Senders repeat what matters.
   auto SendBudget(const MemberId& to, const BudgetMessage& message) -> void;
+  auto SendClaim(const MemberId& to, const ClaimMessage& message) -> void;
   auto SendDemand(const MemberId& to, const ModelDemandReport& report) -> void;
   auto SetInstanceList(const InstanceListRead& list) -> void;
   // What messages to others say about this daemon's configuration.
--- a/daemon/control/take_over_watch.cc
+++ b/daemon/control/take_over_watch.cc
@@ -25,9 +25,8 @@
     return RendezvousWeight(shard_.Value(), member.instance.Value());
   };
   const auto best = std::max_element(
-      live_.begin(), live_.end(), [&](const auto& a, const auto& b) {
-        return weight(a) < weight(b);
-      });
+      live_.begin(), live_.end(),
+      [&](const auto& a, const auto& b) { return weight(a) < weight(b); });
   return *best == self_;
 }
 
--- a/daemon/control/upstream_monitor.cc
+++ b/daemon/control/upstream_monitor.cc
@@ -33,7 +33,6 @@
   observation.load.waiting_requests = json.value("waiting", std::int64_t{0});
   observation.load.waiting_tokens =
       Tokens(json.value("waiting_tokens", std::int64_t{0}));
-  observation.load.max_running = json.value("max_batch", std::int64_t{0});
   observation.load.prefill_tokens_per_ms =
       json.value("prefill_tokens_per_ms", 0.0);
   for (const auto& item : json.value("resident", nlohmann::json::array())) {
--- a/daemon/traffic/request_handler.cc
+++ b/daemon/traffic/request_handler.cc
@@ -14,6 +14,7 @@
 
 constexpr std::string_view kServicePrefix = "/services/";
 constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
 constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
 
 // The caller's headers that a service gets. Everything else stays here, above
@@ -64,6 +65,74 @@
   return encoded;
 }
 
+auto ClaimFailure(ErrorKind kind, std::string message, std::string remedy,
+                  Ran ran) -> tl::unexpected<RequestFailure> {
+  RequestFailure failure;
+  failure.error = {kind, std::move(message), std::move(remedy)};
+  failure.ran = ran;
+  if (ran == Ran::kNo) failure.reason = "claim";
+  return tl::unexpected(std::move(failure));
+}
+
+// What a caller gets whose call was not granted.
+auto AnswerOfVerdict(const ClaimVerdict& verdict, const RequestId& id)
+    -> tl::expected<HttpResponse, RequestFailure> {
+  using Answer = tl::expected<HttpResponse, RequestFailure>;
+  return std::visit(
+      Overloaded{
+          [&](const FirstResponse& first) -> Answer {
+            if (!first.response.body_stored) {
+              return ClaimFailure(
+                  ErrorKind::kConflict,
+                  "the call with this Idempotency-Key ran; its response was "
+                  "too large to keep",
+                  "ask the service for the result", Ran::kYes);
+            }
+            return HttpResponse{first.response.status,
+                                {{"Content-Type", "application/json"},
+                                 {"X-Request-Id", id.Value()},
+                                 {"Idempotent-Replay", "true"}},
+                                first.response.body,
+                                false};
+          },
+          [](const InProgress&) -> Answer {
+            return ClaimFailure(ErrorKind::kConflict,
+                                "a call with this Idempotency-Key is in "
+                                "progress",
+                                "repeat it later to get its response",
+                                Ran::kUnknown);
+          },
+          [](const DifferentRequest&) -> Answer {
+            return ClaimFailure(ErrorKind::kInvalidArgument,
+                                "this Idempotency-Key was used for another "
+                                "request",
+                                "send a new key", Ran::kNo);
+          },
+          [](const ClaimRejected& rejected) -> Answer {
+            return ClaimFailure(rejected.error.kind, rejected.error.message,
+                                rejected.error.remedy, Ran::kNo);
+          },
+          [](const auto&) -> Answer {
+            return ClaimFailure(ErrorKind::kOutcomeUnknown,
+                                "a call with this Idempotency-Key may have "
+                                "run",
+                                "ask the service for the result",
+                                Ran::kUnknown);
+          }},
+      verdict);
+}
+
+auto AnswerOfClaim(const ClaimDecision& decision, const RequestId& id)
+    -> tl::expected<HttpResponse, RequestFailure> {
+  if (const auto* verdict = std::get_if<ClaimVerdict>(&decision)) {
+    return AnswerOfVerdict(*verdict, id);
+  }
+  // This attempt did not run, but another one with the key may have.
+  return ClaimFailure(ErrorKind::kUnavailable,
+                      "the call could not be claimed before its deadline",
+                      "repeat it with the same Idempotency-Key", Ran::kUnknown);
+}
+
 auto EncodeQuery(const std::string& query) -> std::string {
   std::string encoded = EncodePath(query.substr(query.empty() ? 0 : 1));
   // The separator survives as it stands; everything else was encoded.
@@ -287,7 +356,13 @@
   const auto& methods = route->second.idempotent_methods;
   call.idempotent = std::find(methods.begin(), methods.end(), request.method) !=
                     methods.end();
-  auto response = ServiceCall(state_, context, std::move(call), caller).Run();
+  const auto idempotency_key = request.Header("Idempotency-Key");
+  const bool claimed = claims_ != nullptr && !call.idempotent &&
+                       idempotency_key && !route->second.open;
+  auto response =
+      claimed ? RunClaimed(request, caller, context, std::move(call),
+                           *idempotency_key)
+              : ServiceCall(state_, context, std::move(call), caller).Run();
   state_.metrics.CountRequest(
       context.account.Value(), ClassName(context.priority),
       response ? "ok"
@@ -298,6 +373,43 @@
   return response;
 }
 
+auto RequestHandler::RunClaimed(const HttpRequest& request,
+                                const CallerConnection& caller,
+                                const RequestContext& context,
+                                ServiceRequest call, std::string_view key)
+    -> Outcome {
+  if (key.empty() || key.size() > kMaxIdempotencyKeyBytes) {
+    return FailureOf(
+        ErrorKind::kInvalidArgument,
+        "the Idempotency-Key has " + std::to_string(key.size()) + " bytes",
+        "send a key of 1 to 256 bytes", "bad_request");
+  }
+  const auto content = request.method + " " + call.url + "\n" + request.body;
+  const auto decision =
+      claims_->Claim(context.account, key, content, context.deadline);
+  const auto* grant = std::get_if<ClaimGrant>(&decision);
+  if (grant == nullptr) return AnswerOfClaim(decision, context.id);
+  auto response = ServiceCall(state_, context, std::move(call), caller).Run();
+  if (response) {
+    StoredResponse stored;
+    stored.status = response->status;
+    stored.body = std::get<std::string>(response->body);
+    claims_->Finish(*grant, ClaimState::kDone, stored);
+  } else if (response.error().ran == Ran::kNo) {
+    // The key is used up: what is recorded for it stays, so that two answers
+    // to one key never differ.
+    response.error().error.remedy = "repeat the call with a new key";
+    const auto refusal = ErrorResponse(response.error().error, Ran::kNo,
+                                       context.id, std::chrono::seconds(1));
+    claims_->Finish(
+        *grant, ClaimState::kDone,
+        {refusal.status, std::get<std::string>(refusal.body), true});
+  } else {
+    claims_->Finish(*grant, ClaimState::kUnknown, {});
+  }
+  return response;
+}
+
 auto RequestHandler::ListModels(const ServingSnapshot& snapshot,
                                 const RequestId& id) const -> HttpResponse {
   auto data = nlohmann::json::array();
--- a/daemon/traffic/request_handler.h
+++ b/daemon/traffic/request_handler.h
@@ -3,9 +3,11 @@
 #include <memory>
 #include <string>
 
+#include "daemon/control/claim_service.h"
 #include "daemon/state/shared_state.h"
 #include "daemon/traffic/attempt_policy.h"
 #include "daemon/traffic/budget_gate.h"
+#include "daemon/traffic/service_call.h"
 
 namespace dotterellug {
 
@@ -18,6 +20,9 @@
 
   auto Handle(const HttpRequest& request, const CallerConnection& caller)
       -> HttpResponse;
+  // Claims calls that carry an Idempotency-Key; without it such calls run
+  // unclaimed. Set before requests arrive.
+  auto SetClaims(ClaimService* claims) -> void { claims_ = claims; }
 
  private:
   using Outcome = tl::expected<HttpResponse, RequestFailure>;
@@ -30,6 +35,10 @@
   auto HandleService(const HttpRequest& request, const CallerConnection& caller,
                      const RequestId& id, const ServingSnapshot& snapshot)
       -> Outcome;
+  // Runs a call that may not be repeated under the claim of its key.
+  auto RunClaimed(const HttpRequest& request, const CallerConnection& caller,
+                  const RequestContext& context, ServiceRequest call,
+                  std::string_view key) -> Outcome;
   auto ListModels(const ServingSnapshot& snapshot, const RequestId& id) const
       -> HttpResponse;
   auto Authenticate(const HttpRequest& request, const RequestId& id,
@@ -42,6 +51,7 @@
 
   SharedState& state_;
   ChargeBudget charge_budget_;
+  ClaimService* claims_ = nullptr;
 };
 
 }  // namespace dotterellug
--- a/extras/standins/common/fault_gate.cc
+++ b/extras/standins/common/fault_gate.cc
@@ -2,7 +2,7 @@
 
 #include <thread>
 
-namespace dotterellug {
+namespace dotterellug::standins {
 namespace {
 
 using Json = nlohmann::json;
@@ -137,4 +137,4 @@
   return reply;
 }
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/common/fault_gate.h
+++ b/extras/standins/common/fault_gate.h
@@ -8,7 +8,7 @@
 #include "standins/common/http_server.h"
 #include "store/faults/fault_table.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 // A reply with a JSON error body: {"error": {"type", "message"}}.
 auto ErrorReply(const Error& error) -> HttpReply;
@@ -44,4 +44,4 @@
   std::int64_t late_pending_ = 0;
 };
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/common/http_server.cc
+++ b/extras/standins/common/http_server.cc
@@ -6,7 +6,7 @@
 
 #include <utility>
 
-namespace dotterellug {
+namespace dotterellug::standins {
 namespace {
 
 // Bound of a request body: 1 MB of value, of which JSON may escape each byte
@@ -100,4 +100,4 @@
   if (daemon_ != nullptr) MHD_stop_daemon(daemon_);
 }
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/common/http_server.h
+++ b/extras/standins/common/http_server.h
@@ -10,7 +10,7 @@
 
 struct MHD_Daemon;
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 struct HttpRequest {
   std::string method;
@@ -57,4 +57,4 @@
   std::uint16_t port_ = 0;
 };
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/common/rate_limit.h
+++ b/extras/standins/common/rate_limit.h
@@ -5,7 +5,7 @@
 
 #include "core/time/time.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 // Token bucket of one second's worth of calls. Not thread-safe.
 class RateLimit {
@@ -31,4 +31,4 @@
   Timestamp last_{};
 };
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/common/run_until_signal.cc
+++ b/extras/standins/common/run_until_signal.cc
@@ -4,7 +4,7 @@
 #include <iostream>
 #include <utility>
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 auto RunUntilSignal(const std::string& host, std::uint16_t port,
                     HttpServer::Handler handler) -> int {
@@ -24,4 +24,4 @@
   return 0;
 }
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/common/run_until_signal.h
+++ b/extras/standins/common/run_until_signal.h
@@ -5,7 +5,7 @@
 
 #include "standins/common/http_server.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 // Serves `handler` until SIGTERM or SIGINT and prints "listening on HOST:PORT"
 // when ready. Returns the program's exit code. Call it before any thread
@@ -13,4 +13,4 @@
 auto RunUntilSignal(const std::string& host, std::uint16_t port,
                     HttpServer::Handler handler) -> int;
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/instance_list/instance_list_server.cc
+++ b/extras/standins/instance_list/instance_list_server.cc
@@ -1,6 +1,6 @@
 #include "standins/instance_list/instance_list_server.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 namespace {
 
 using Json = nlohmann::json;
@@ -107,4 +107,4 @@
   }
 }
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/instance_list/instance_list_server.h
+++ b/extras/standins/instance_list/instance_list_server.h
@@ -10,7 +10,7 @@
 #include "standins/common/fault_gate.h"
 #include "standins/common/http_server.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 // Stand-in for the platform's instance list:
 //   GET /v1/instances          {"instances": [{"id", "state", ...}]} as it was
@@ -55,4 +55,4 @@
   std::deque<Snapshot> snapshots_;
 };
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/instance_list/main.cc
+++ b/extras/standins/instance_list/main.cc
@@ -11,9 +11,9 @@
 
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  dotterellug::InstanceListServer server(
+  dotterellug::standins::InstanceListServer server(
       std::chrono::milliseconds(FLAGS_lag_ms), &dotterellug::MonotonicNow);
-  return dotterellug::RunUntilSignal(
+  return dotterellug::standins::RunUntilSignal(
       FLAGS_host, static_cast<std::uint16_t>(FLAGS_port),
       [&](const auto& request) { return server.Handle(request); });
 }
--- a/extras/standins/object_api/main.cc
+++ b/extras/standins/object_api/main.cc
@@ -12,9 +12,9 @@
 
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  dotterellug::ObjectApiServer server(
+  dotterellug::standins::ObjectApiServer server(
       {FLAGS_writes_per_second, FLAGS_reads_per_second});
-  return dotterellug::RunUntilSignal(
+  return dotterellug::standins::RunUntilSignal(
       FLAGS_host, static_cast<std::uint16_t>(FLAGS_port),
       [&](const auto& request) { return server.Handle(request); });
 }
--- a/extras/standins/object_api/object_api_server.cc
+++ b/extras/standins/object_api/object_api_server.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-namespace dotterellug {
+namespace dotterellug::standins {
 namespace {
 
 using Json = nlohmann::json;
@@ -199,4 +199,4 @@
   return within;
 }
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/object_api/object_api_server.h
+++ b/extras/standins/object_api/object_api_server.h
@@ -9,7 +9,7 @@
 #include "standins/common/rate_limit.h"
 #include "store/memory/object_table.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 // Rates of the platform's object API, in calls per second.
 struct ObjectApiRates {
@@ -56,4 +56,4 @@
   std::int64_t waiting_watches_ = 0;
 };
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/tests/standins_tests.cc
+++ b/extras/standins/tests/standins_tests.cc
@@ -5,7 +5,7 @@
 #include "standins/instance_list/instance_list_server.h"
 #include "standins/weight_store/load_model.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 namespace {
 
 using Json = nlohmann::json;
@@ -66,4 +66,4 @@
 }
 
 }  // namespace
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/weight_store/load_model.cc
+++ b/extras/standins/weight_store/load_model.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 auto LoadModel::Start(Timestamp now) -> LoadId {
   Advance(now);
@@ -34,4 +34,4 @@
   last_ = now;
 }
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/weight_store/load_model.h
+++ b/extras/standins/weight_store/load_model.h
@@ -6,7 +6,7 @@
 #include "core/ids/strong_integer.h"
 #include "core/time/time.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 // Rate of the weight store.
 struct WeightStoreRate {
@@ -41,4 +41,4 @@
   std::map<LoadId, double> remaining_;
 };
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/weight_store/main.cc
+++ b/extras/standins/weight_store/main.cc
@@ -12,10 +12,10 @@
 
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  dotterellug::WeightStoreServer server(
+  dotterellug::standins::WeightStoreServer server(
       {FLAGS_loads_per_second,
        static_cast<std::int64_t>(FLAGS_parallel_loads)});
-  return dotterellug::RunUntilSignal(
+  return dotterellug::standins::RunUntilSignal(
       FLAGS_host, static_cast<std::uint16_t>(FLAGS_port),
       [&](const auto& request) { return server.Handle(request); });
 }
--- a/extras/standins/weight_store/weight_store_server.cc
+++ b/extras/standins/weight_store/weight_store_server.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-namespace dotterellug {
+namespace dotterellug::standins {
 namespace {
 
 constexpr std::string_view kWeights = "/v1/weights/";
@@ -45,4 +45,4 @@
   return HttpReply{200, json.dump()};
 }
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/extras/standins/weight_store/weight_store_server.h
+++ b/extras/standins/weight_store/weight_store_server.h
@@ -7,7 +7,7 @@
 #include "standins/common/http_server.h"
 #include "standins/weight_store/load_model.h"
 
-namespace dotterellug {
+namespace dotterellug::standins {
 
 // Stand-in for the weight store:
 //   GET /v1/weights/NAME    {"name": NAME} after the time that LoadModel gives
@@ -29,4 +29,4 @@
   std::size_t peak_in_flight_ = 0;
 };
 
-}  // namespace dotterellug
+}  // namespace dotterellug::standins
--- a/modules/idempotency/owner/claim_owner.cc
+++ b/modules/idempotency/owner/claim_owner.cc
@@ -1,6 +1,7 @@
 #include "idempotency/owner/claim_owner.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace dotterellug {
@@ -9,11 +10,23 @@
 // Upper bound of an encoded record without response body and names.
 constexpr std::size_t kRecordBytes = 200;
 
+// Escaping in JSON at most doubles ordinary text; bodies for which it does not
+// suffice are not stored.
+constexpr std::size_t kEscapedSize = 2;
+
 auto RecordBytes(const ClaimRecord& record) -> std::size_t {
   return kRecordBytes + record.key.Value().size() +
          record.request.Value().size() +
          record.claimant.member.instance.Value().size() +
-         record.response.body.size();
+         kEscapedSize * record.response.body.size();
+}
+
+// Whether the text form of the body stays within what RecordBytes allows.
+auto BodyMayBeStored(const std::string& body, std::size_t limit) -> bool {
+  if (body.size() > limit) return false;
+  const auto text = nlohmann::json(body).dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return text.size() <= kEscapedSize * body.size() + 2;
 }
 
 }  // namespace
@@ -116,7 +129,7 @@
   if (entry.record.state == ClaimState::kRunning) {
     entry.record.state = result.state;
     entry.record.response = result.response;
-    if (result.response.body.size() > policy_.max_response_bytes ||
+    if (!BodyMayBeStored(result.response.body, policy_.max_response_bytes) ||
         LogBytes() > policy_.max_log_bytes) {
       entry.record.response.body.clear();
       entry.record.response.body_stored = false;
--- a/modules/peer/auth/freshness_guard.cc
+++ b/modules/peer/auth/freshness_guard.cc
@@ -16,15 +16,15 @@
 
 }  // namespace
 
-auto RefusalName(Refusal refusal) -> std::string_view {
+auto RefusalName(PeerRefusal refusal) -> std::string_view {
   return kRefusalNames[static_cast<std::size_t>(refusal)];
 }
 
-auto ParseRefusal(std::string_view name) -> Refusal {
+auto ParseRefusal(std::string_view name) -> PeerRefusal {
   for (std::size_t index = 1; index < kRefusalNames.size(); ++index) {
-    if (kRefusalNames[index] == name) return static_cast<Refusal>(index);
+    if (kRefusalNames[index] == name) return static_cast<PeerRefusal>(index);
   }
-  return Refusal::kMalformed;
+  return PeerRefusal::kMalformed;
 }
 
 FreshnessGuard::FreshnessGuard(MemberId self, Duration period,
@@ -49,36 +49,36 @@
 }
 
 auto FreshnessGuard::Check(const MessageHeader& header, Timestamp now)
-    -> Refusal {
+    -> PeerRefusal {
   Rotate(now);
-  if (header.receiver != self_.instance) return Refusal::kWrongReceiver;
+  if (header.receiver != self_.instance) return PeerRefusal::kWrongReceiver;
   const auto& instance = header.sender.instance;
-  if (peers_.count(instance) == 0) return Refusal::kUnknownPeer;
+  if (peers_.count(instance) == 0) return PeerRefusal::kUnknownPeer;
   const auto known = senders_.find(instance);
   const auto incarnation = header.sender.incarnation;
   if (known != senders_.end()) {
     if (incarnation < known->second.incarnation) {
-      return Refusal::kOldIncarnation;
+      return PeerRefusal::kOldIncarnation;
     }
     if (incarnation == known->second.incarnation &&
         known->second.window.Seen(header.sequence)) {
-      return Refusal::kReplay;
+      return PeerRefusal::kReplay;
     }
   }
-  if (header.sequence <= 0) return Refusal::kMalformed;
+  if (header.sequence <= 0) return PeerRefusal::kMalformed;
   if (header.receiver_incarnation != Incarnation{} &&
       header.receiver_incarnation != self_.incarnation) {
-    return Refusal::kReceiverRestarted;
+    return PeerRefusal::kReceiverRestarted;
   }
   const auto epoch = header.receiver_epoch;
   if (epoch == 0 || (epoch != current_ && epoch != previous_)) {
-    return Refusal::kStaleEpoch;
+    return PeerRefusal::kStaleEpoch;
   }
   auto& sender = senders_[instance];
   if (sender.incarnation != incarnation) sender = Sender{incarnation, {}, now};
   sender.window.Accept(header.sequence);
   sender.last_accepted = now;
-  return Refusal::kNone;
+  return PeerRefusal::kNone;
 }
 
 auto FreshnessGuard::CurrentEpoch(Timestamp now) -> ReceiverEpoch {
--- a/modules/peer/auth/freshness_guard.h
+++ b/modules/peer/auth/freshness_guard.h
@@ -12,7 +12,7 @@
 namespace dotterellug {
 
 // Why a message was not handed to its handler.
-enum class Refusal {
+enum class PeerRefusal {
   kNone,
   kMalformed,
   kBadMac,
@@ -28,9 +28,9 @@
 inline constexpr std::size_t kRefusalCount = 11;
 
 // Name for counters and messages between daemons, such as "stale_epoch".
-auto RefusalName(Refusal refusal) -> std::string_view;
+auto RefusalName(PeerRefusal refusal) -> std::string_view;
 // The refusal with that name; kMalformed for any other text.
-auto ParseRefusal(std::string_view name) -> Refusal;
+auto ParseRefusal(std::string_view name) -> PeerRefusal;
 
 // Decides whether a message whose MAC is correct may be accepted: once, from a
 // known peer, to this process, and made within the last one to two periods of
@@ -47,7 +47,7 @@
   // Accepts the message (kNone) and remembers it, or says why not. Whether the
   // message was seen is checked before its epoch: only then does kStaleEpoch
   // prove that this process never accepted it.
-  auto Check(const MessageHeader& header, Timestamp now) -> Refusal;
+  auto Check(const MessageHeader& header, Timestamp now) -> PeerRefusal;
   // The epoch that senders shall use from now on.
   auto CurrentEpoch(Timestamp now) -> ReceiverEpoch;
   auto Self() const -> const MemberId& { return self_; }
--- a/modules/peer/auth/refusal_counters.h
+++ b/modules/peer/auth/refusal_counters.h
@@ -11,14 +11,14 @@
 // Messages accepted and refused, by reason. Thread-safe.
 class RefusalCounters {
  public:
-  auto Count(Refusal refusal) -> void { ++counts_[Index(refusal)]; }
+  auto Count(PeerRefusal refusal) -> void { ++counts_[Index(refusal)]; }
   // Messages refused for that reason; for kNone, messages accepted.
-  auto Of(Refusal refusal) const -> std::int64_t {
+  auto Of(PeerRefusal refusal) const -> std::int64_t {
     return counts_[Index(refusal)];
   }
 
  private:
-  static auto Index(Refusal refusal) -> std::size_t {
+  static auto Index(PeerRefusal refusal) -> std::size_t {
     return static_cast<std::size_t>(refusal);
   }
 
--- a/modules/peer/datagram/datagram_endpoint.cc
+++ b/modules/peer/datagram/datagram_endpoint.cc
@@ -73,12 +73,13 @@
 auto DatagramEndpoint::Receive(std::string_view bytes,
                                const SocketAddress& source) -> void {
   if (bytes.size() > kDatagramLimitBytes) {
-    counters_.Count(Refusal::kTooLarge);
+    counters_.Count(PeerRefusal::kTooLarge);
     return;
   }
   const auto decoded = DecodeDatagram(bytes, key_);
   if (!decoded.datagram) {
-    counters_.Count(decoded.authentic ? Refusal::kMalformed : Refusal::kBadMac);
+    counters_.Count(decoded.authentic ? PeerRefusal::kMalformed
+                                      : PeerRefusal::kBadMac);
     return;
   }
   if (decoded.datagram->kind == DatagramKind::kChallenge) {
@@ -91,22 +92,22 @@
 auto DatagramEndpoint::ReceiveMessage(const Datagram& datagram,
                                       const SocketAddress& source) -> void {
   const auto& sender = datagram.header.sender;
-  Refusal refusal = Refusal::kNone;
+  PeerRefusal refusal = PeerRefusal::kNone;
   {
     const std::lock_guard lock(mutex_);
     refusal = guard_.Check(datagram.header, MonotonicNow());
-    if (refusal == Refusal::kNone) {
+    if (refusal == PeerRefusal::kNone) {
       PeerOf(sender.instance)->epoch = datagram.sender_epoch;
     }
   }
   counters_.Count(refusal);
-  if (refusal == Refusal::kStaleEpoch) SendChallenge(datagram, source);
-  if (refusal != Refusal::kNone) return;
+  if (refusal == PeerRefusal::kStaleEpoch) SendChallenge(datagram, source);
+  if (refusal != PeerRefusal::kNone) return;
   try {
     handler_(sender, source, datagram.body);
   } catch (const std::exception&) {
     // A handler that rejects a body by an exception must not end the thread.
-    counters_.Count(Refusal::kMalformed);
+    counters_.Count(PeerRefusal::kMalformed);
   }
 }
 
@@ -125,7 +126,7 @@
         header.receiver == options_.self.instance &&
         header.receiver_incarnation == options_.self.incarnation;
     if (!expected) {
-      counters_.Count(Refusal::kReplay);
+      counters_.Count(PeerRefusal::kReplay);
       return;
     }
     peer->second.challenged = true;
--- a/modules/peer/request/peer_request_client.cc
+++ b/modules/peer/request/peer_request_client.cc
@@ -33,30 +33,30 @@
 
 // What an authenticated refusal says. The request did not run, except when it
 // may have been refused as the duplicate of itself.
-auto RefusalError(const PeerTarget& target, Refusal refusal) -> Error {
+auto RefusalError(const PeerTarget& target, PeerRefusal refusal) -> Error {
   const auto reason = "refused as " + std::string(RefusalName(refusal));
   switch (refusal) {
-    case Refusal::kNone:
-    case Refusal::kReplay:
+    case PeerRefusal::kNone:
+    case PeerRefusal::kReplay:
       return Unknown(target, reason);
-    case Refusal::kBusy:
-    case Refusal::kStaleEpoch:
-    case Refusal::kReceiverRestarted:
+    case PeerRefusal::kBusy:
+    case PeerRefusal::kStaleEpoch:
+    case PeerRefusal::kReceiverRestarted:
       return NotDone(ErrorKind::kUnavailable, target, reason, "repeat it");
-    case Refusal::kWrongReceiver:
+    case PeerRefusal::kWrongReceiver:
       return NotDone(ErrorKind::kUnavailable, target, reason,
                      "wait until the new address of the instance is known");
-    case Refusal::kUnknownPeer:
+    case PeerRefusal::kUnknownPeer:
       return NotDone(ErrorKind::kForbidden, target, reason,
                      "wait until the peer sees this instance in the instance "
                      "list");
-    case Refusal::kOldIncarnation:
+    case PeerRefusal::kOldIncarnation:
       return NotDone(ErrorKind::kForbidden, target, reason,
                      "stop this process; a newer one runs on its instance");
-    case Refusal::kTooLarge:
+    case PeerRefusal::kTooLarge:
       return NotDone(ErrorKind::kTooLarge, target, reason, "send less at once");
-    case Refusal::kMalformed:
-    case Refusal::kBadMac:
+    case PeerRefusal::kMalformed:
+    case PeerRefusal::kBadMac:
       break;
   }
   return NotDone(ErrorKind::kProtocol, target, reason,
@@ -90,7 +90,7 @@
 struct PeerRequestClient::Attempt {
   // Set when the response is not the text of a JSON-RPC response.
   std::optional<Error> error;
-  Refusal refusal = Refusal::kNone;
+  PeerRefusal refusal = PeerRefusal::kNone;
   std::string body;
 };
 
@@ -112,7 +112,7 @@
   const auto exchange = [&](const std::string& request, std::string* response) {
     attempt = Try(target, request, deadline);
     // The peer proved that it did not accept the request, and told its epoch.
-    if (attempt.refusal == Refusal::kStaleEpoch) {
+    if (attempt.refusal == PeerRefusal::kStaleEpoch) {
       attempt = Try(target, request, deadline);
     }
     *response = attempt.body;
@@ -167,7 +167,7 @@
   KeepConnection(target, std::move(connection));
   LearnEpoch(target.instance, response->epoch);
   attempt.refusal = response->refusal;
-  if (response->refusal != Refusal::kNone) {
+  if (response->refusal != PeerRefusal::kNone) {
     attempt.error = RefusalError(target, response->refusal);
   } else if (!JsonDepthAllowed(result.body)) {
     attempt.error = Unknown(target, "the response is nested too deep");
--- a/modules/peer/request/peer_request_server.cc
+++ b/modules/peer/request/peer_request_server.cc
@@ -104,14 +104,15 @@
       -> MHD_Result;
   auto Finish(MHD_Connection* connection, const PendingRequest& request)
       -> MHD_Result;
-  auto Refuse(const PendingRequest& request, Refusal refusal) -> Reply;
-  // Refusal before the MAC was verified. It carries no MAC: otherwise anyone
-  // could obtain an authenticated "not run" for a request of another daemon.
-  auto RefuseUnauthenticated(Refusal refusal, unsigned status) -> Reply;
+  auto Refuse(const PendingRequest& request, PeerRefusal refusal) -> Reply;
+  // PeerRefusal before the MAC was verified. It carries no MAC: otherwise
+  // anyone could obtain an authenticated "not run" for a request of another
+  // daemon.
+  auto RefuseUnauthenticated(PeerRefusal refusal, unsigned status) -> Reply;
   auto Run(const PendingRequest& request, const MemberId& sender) -> Reply;
-  auto Authenticated(const PendingRequest& request, Refusal refusal,
+  auto Authenticated(const PendingRequest& request, PeerRefusal refusal,
                      std::string body) -> Reply;
-  auto Check(const MessageHeader& header) -> Refusal;
+  auto Check(const MessageHeader& header) -> PeerRefusal;
 
   const PeerRequestServerOptions options;
   const FleetKey key;
@@ -126,15 +127,15 @@
 auto PeerRequestServer::State::Begin(MHD_Connection* connection, void** context)
     -> MHD_Result {
   if (ContentLength(connection) > options.max_body_bytes) {
-    return SendReply(
-        connection,
-        RefuseUnauthenticated(Refusal::kTooLarge, MHD_HTTP_CONTENT_TOO_LARGE));
+    return SendReply(connection,
+                     RefuseUnauthenticated(PeerRefusal::kTooLarge,
+                                           MHD_HTTP_CONTENT_TOO_LARGE));
   }
   auto request = std::make_unique<PendingRequest>();
   request->head = HeaderValue(connection, kHeadHeader);
   request->mac = HeaderValue(connection, kMacHeader);
   if (!ParseRequestHead(request->head) || !ParseMac(request->mac)) {
-    return SendReply(connection, RefuseUnauthenticated(Refusal::kMalformed,
+    return SendReply(connection, RefuseUnauthenticated(PeerRefusal::kMalformed,
                                                        MHD_HTTP_BAD_REQUEST));
   }
   *context = request.release();
@@ -145,7 +146,7 @@
                                        const char* data, std::size_t* size)
     -> MHD_Result {
   if (request->body.size() + *size > options.max_body_bytes) {
-    counters.Count(Refusal::kTooLarge);
+    counters.Count(PeerRefusal::kTooLarge);
     return MHD_NO;
   }
   request->body.append(data, *size);
@@ -159,19 +160,19 @@
   const auto header = ParseRequestHead(request.head);
   const auto mac = ParseMac(request.mac);
   if (!key.Verify(*mac, MacPurpose::kRequest, request.head, request.body)) {
-    return SendReply(connection, RefuseUnauthenticated(Refusal::kBadMac,
+    return SendReply(connection, RefuseUnauthenticated(PeerRefusal::kBadMac,
                                                        MHD_HTTP_FORBIDDEN));
   }
   const auto refusal = Check(*header);
-  if (refusal != Refusal::kNone) {
+  if (refusal != PeerRefusal::kNone) {
     return SendReply(connection, Refuse(request, refusal));
   }
   if (!JsonDepthAllowed(request.body)) {
-    return SendReply(connection, Refuse(request, Refusal::kMalformed));
+    return SendReply(connection, Refuse(request, PeerRefusal::kMalformed));
   }
   if (++running > options.max_concurrent) {
     --running;
-    return SendReply(connection, Refuse(request, Refusal::kBusy));
+    return SendReply(connection, Refuse(request, PeerRefusal::kBusy));
   }
   const auto reply = Run(request, header->sender);
   --running;
@@ -179,14 +180,14 @@
 }
 
 auto PeerRequestServer::State::Refuse(const PendingRequest& request,
-                                      Refusal refusal) -> Reply {
+                                      PeerRefusal refusal) -> Reply {
   counters.Count(refusal);
   auto reply = Authenticated(request, refusal, {});
   reply.status = MHD_HTTP_FORBIDDEN;
   return reply;
 }
 
-auto PeerRequestServer::State::RefuseUnauthenticated(Refusal refusal,
+auto PeerRequestServer::State::RefuseUnauthenticated(PeerRefusal refusal,
                                                      unsigned status) -> Reply {
   counters.Count(refusal);
   Reply reply;
@@ -197,14 +198,14 @@
 
 auto PeerRequestServer::State::Run(const PendingRequest& request,
                                    const MemberId& sender) -> Reply {
-  counters.Count(Refusal::kNone);
-  return Authenticated(request, Refusal::kNone,
+  counters.Count(PeerRefusal::kNone);
+  return Authenticated(request, PeerRefusal::kNone,
                        dispatcher.Dispatch(sender, request.body));
 }
 
 auto PeerRequestServer::State::Authenticated(const PendingRequest& request,
-                                             Refusal refusal, std::string body)
-    -> Reply {
+                                             PeerRefusal refusal,
+                                             std::string body) -> Reply {
   Reply reply;
   {
     const std::lock_guard lock(mutex);
@@ -219,7 +220,8 @@
   return reply;
 }
 
-auto PeerRequestServer::State::Check(const MessageHeader& header) -> Refusal {
+auto PeerRequestServer::State::Check(const MessageHeader& header)
+    -> PeerRefusal {
   const std::lock_guard lock(mutex);
   return guard.Check(header, MonotonicNow());
 }
@@ -246,9 +248,9 @@
          void** context) -> MHD_Result {
     auto* server = static_cast<State*>(self);
     if (std::strcmp(method, MHD_HTTP_METHOD_POST) != 0) {
-      return SendReply(connection,
-                       server->RefuseUnauthenticated(
-                           Refusal::kMalformed, MHD_HTTP_METHOD_NOT_ALLOWED));
+      return SendReply(connection, server->RefuseUnauthenticated(
+                                       PeerRefusal::kMalformed,
+                                       MHD_HTTP_METHOD_NOT_ALLOWED));
     }
     if (*context == nullptr) return server->Begin(connection, context);
     auto* request = static_cast<PendingRequest*>(*context);
--- a/modules/peer/request/request_head.cc
+++ b/modules/peer/request/request_head.cc
@@ -89,7 +89,7 @@
       !ReadNumber(fields[2], &head.epoch)) {
     return std::nullopt;
   }
-  if (fields[3] != RefusalName(Refusal::kNone)) {
+  if (fields[3] != RefusalName(PeerRefusal::kNone)) {
     head.refusal = ParseRefusal(fields[3]);
   }
   return head;
--- a/modules/peer/request/request_head.h
+++ b/modules/peer/request/request_head.h
@@ -24,7 +24,7 @@
   Incarnation incarnation;
   ReceiverEpoch epoch = 0;
   // kNone when the request was handed to its handler.
-  Refusal refusal = Refusal::kNone;
+  PeerRefusal refusal = PeerRefusal::kNone;
 };
 
 auto EncodeResponseHead(const ResponseHead& head) -> std::string;
--- a/modules/peer/tests/datagram_tests.cc
+++ b/modules/peer/tests/datagram_tests.cc
@@ -39,7 +39,8 @@
     return received_;
   }
   // Waits until a counter has the value, and returns the counter.
-  auto AwaitCount(Refusal refusal, std::int64_t value) const -> std::int64_t {
+  auto AwaitCount(PeerRefusal refusal, std::int64_t value) const
+      -> std::int64_t {
     for (int round = 0; round < 20'000; ++round) {
       if (endpoint_->Counters().Of(refusal) >= value) break;
       std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -67,8 +68,8 @@
   EXPECT_EQ(1U, b.Await(1).size());
   ASSERT_TRUE(b.Endpoint().Send(Id("a"), a.Address(), {{"ack", 1}}));
   EXPECT_EQ(1U, a.Await(1).size());
-  EXPECT_EQ(1, b.Endpoint().Counters().Of(Refusal::kStaleEpoch));
-  EXPECT_EQ(0, a.Endpoint().Counters().Of(Refusal::kStaleEpoch));
+  EXPECT_EQ(1, b.Endpoint().Counters().Of(PeerRefusal::kStaleEpoch));
+  EXPECT_EQ(0, a.Endpoint().Counters().Of(PeerRefusal::kStaleEpoch));
 }
 
 // Guards against bodies that IP would fragment.
@@ -90,14 +91,14 @@
   Receiver unknown(Id("x"));
   Receiver a(Id("a"));
   static_cast<void>(other_key.Endpoint().Send(Id("b"), b.Address(), "forged"));
-  EXPECT_EQ(1, b.AwaitCount(Refusal::kBadMac, 1));
+  EXPECT_EQ(1, b.AwaitCount(PeerRefusal::kBadMac, 1));
   static_cast<void>(unknown.Endpoint().Send(Id("b"), b.Address(), "unknown"));
-  EXPECT_EQ(1, b.AwaitCount(Refusal::kUnknownPeer, 1));
+  EXPECT_EQ(1, b.AwaitCount(PeerRefusal::kUnknownPeer, 1));
   static_cast<void>(a.Endpoint().Send(Id("c"), b.Address(), "for c"));
-  EXPECT_EQ(1, b.AwaitCount(Refusal::kWrongReceiver, 1));
+  EXPECT_EQ(1, b.AwaitCount(PeerRefusal::kWrongReceiver, 1));
   static_cast<void>(a.Endpoint().Send(Id("b", 7), b.Address(), "for 7"));
-  EXPECT_EQ(1, b.AwaitCount(Refusal::kReceiverRestarted, 1));
-  EXPECT_EQ(0, b.Endpoint().Counters().Of(Refusal::kNone));
+  EXPECT_EQ(1, b.AwaitCount(PeerRefusal::kReceiverRestarted, 1));
+  EXPECT_EQ(0, b.Endpoint().Counters().Of(PeerRefusal::kNone));
 }
 
 // Guards against crashes on malformed bytes that carry a correct MAC, and
--- a/modules/peer/tests/freshness_tests.cc
+++ b/modules/peer/tests/freshness_tests.cc
@@ -20,7 +20,7 @@
   GuardFixture() { guard.SetPeers({InstanceId{"a"}}, now); }
 
   auto Check(std::int64_t sequence, ReceiverEpoch epoch,
-             std::int64_t incarnation = 1) -> Refusal {
+             std::int64_t incarnation = 1) -> PeerRefusal {
     return guard.Check({{InstanceId{"a"}, Incarnation{incarnation}},
                         InstanceId{"b"},
                         {},
@@ -34,14 +34,14 @@
 TEST(FreshnessGuard, RefusesMessagesOlderThanTwoPeriods) {
   GuardFixture fixture;
   const auto epoch = fixture.guard.CurrentEpoch(fixture.now);
-  EXPECT_EQ(Refusal::kNone, fixture.Check(1, epoch));
+  EXPECT_EQ(PeerRefusal::kNone, fixture.Check(1, epoch));
   fixture.now += kPeriod;
-  EXPECT_EQ(Refusal::kNone, fixture.Check(2, epoch));
+  EXPECT_EQ(PeerRefusal::kNone, fixture.Check(2, epoch));
   fixture.now += kPeriod;
-  EXPECT_EQ(Refusal::kStaleEpoch, fixture.Check(3, epoch));
+  EXPECT_EQ(PeerRefusal::kStaleEpoch, fixture.Check(3, epoch));
   // The duplicate of an accepted message is never called stale, since the
   // sender would send it again.
-  EXPECT_EQ(Refusal::kReplay, fixture.Check(2, epoch));
+  EXPECT_EQ(PeerRefusal::kReplay, fixture.Check(2, epoch));
 }
 
 // Guards against an epoch that survives a long silence.
@@ -49,27 +49,27 @@
   GuardFixture fixture;
   const auto epoch = fixture.guard.CurrentEpoch(fixture.now);
   fixture.now += 10 * kPeriod;
-  EXPECT_EQ(Refusal::kStaleEpoch, fixture.Check(1, epoch));
+  EXPECT_EQ(PeerRefusal::kStaleEpoch, fixture.Check(1, epoch));
 }
 
 // Guards against messages of a former process after its successor spoke.
 TEST(FreshnessGuard, HigherIncarnationStartsItsOwnSequence) {
   GuardFixture fixture;
   const auto epoch = fixture.guard.CurrentEpoch(fixture.now);
-  EXPECT_EQ(Refusal::kNone, fixture.Check(5, epoch, 1));
-  EXPECT_EQ(Refusal::kNone, fixture.Check(5, epoch, 2));
-  EXPECT_EQ(Refusal::kOldIncarnation, fixture.Check(6, epoch, 1));
+  EXPECT_EQ(PeerRefusal::kNone, fixture.Check(5, epoch, 1));
+  EXPECT_EQ(PeerRefusal::kNone, fixture.Check(5, epoch, 2));
+  EXPECT_EQ(PeerRefusal::kOldIncarnation, fixture.Check(6, epoch, 1));
 }
 
 // Guards against replay by a peer that left the list for a moment.
 TEST(FreshnessGuard, KeepsTheWindowOfARemovedPeer) {
   GuardFixture fixture;
   const auto epoch = fixture.guard.CurrentEpoch(fixture.now);
-  EXPECT_EQ(Refusal::kNone, fixture.Check(1, epoch));
+  EXPECT_EQ(PeerRefusal::kNone, fixture.Check(1, epoch));
   fixture.guard.SetPeers({}, fixture.now);
-  EXPECT_EQ(Refusal::kUnknownPeer, fixture.Check(1, epoch));
+  EXPECT_EQ(PeerRefusal::kUnknownPeer, fixture.Check(1, epoch));
   fixture.guard.SetPeers({InstanceId{"a"}}, fixture.now);
-  EXPECT_EQ(Refusal::kReplay, fixture.Check(1, epoch));
+  EXPECT_EQ(PeerRefusal::kReplay, fixture.Check(1, epoch));
 }
 
 // Guards against a sequence that is accepted twice, in any order of arrival.
--- a/modules/peer/tests/peer_request_tests.cc
+++ b/modules/peer/tests/peer_request_tests.cc
@@ -68,7 +68,7 @@
     EXPECT_EQ((nlohmann::json{{"from", "a"}, {"in", in}}), *result);
   }
   EXPECT_EQ(3, fixture.runs);
-  EXPECT_EQ(1, fixture.server->Counters().Of(Refusal::kStaleEpoch));
+  EXPECT_EQ(1, fixture.server->Counters().Of(PeerRefusal::kStaleEpoch));
 }
 
 // Guards against error kinds that are lost between daemons.
@@ -110,43 +110,44 @@
   RawRequest good;
   good.header = {{InstanceId{"a"}, Incarnation{2}}, InstanceId{"b"}, {}, 0, 1};
   good.header.receiver_epoch = good.Send(fixture, Key()).epoch;
-  ASSERT_EQ(Refusal::kNone, good.Send(fixture, Key()).refusal);
+  ASSERT_EQ(PeerRefusal::kNone, good.Send(fixture, Key()).refusal);
   struct Case {
-    Refusal expected;
+    PeerRefusal expected;
     std::function<void(RawRequest*)> change;
     char key;
   };
   const std::vector<Case> cases{
-      {Refusal::kReplay, [](RawRequest*) {}, '1'},
-      {Refusal::kReplay, [](RawRequest* r) { r->header.receiver_epoch = 9; },
-       '1'},
-      {Refusal::kBadMac, [](RawRequest* r) { r->header.sequence = 9; }, '2'},
-      {Refusal::kUnknownPeer,
+      {PeerRefusal::kReplay, [](RawRequest*) {}, '1'},
+      {PeerRefusal::kReplay,
+       [](RawRequest* r) { r->header.receiver_epoch = 9; }, '1'},
+      {PeerRefusal::kBadMac, [](RawRequest* r) { r->header.sequence = 9; },
+       '2'},
+      {PeerRefusal::kUnknownPeer,
        [](RawRequest* r) { r->header.sender.instance = InstanceId{"x"}; }, '1'},
-      {Refusal::kWrongReceiver,
+      {PeerRefusal::kWrongReceiver,
        [](RawRequest* r) { r->header.receiver = InstanceId{"c"}; }, '1'},
-      {Refusal::kOldIncarnation,
+      {PeerRefusal::kOldIncarnation,
        [](RawRequest* r) { r->header.sender.incarnation = Incarnation{1}; },
        '1'},
-      {Refusal::kReceiverRestarted,
+      {PeerRefusal::kReceiverRestarted,
        [](RawRequest* r) {
          r->header.sequence = 10;
          r->header.receiver_incarnation = Incarnation{2};
        },
        '1'},
-      {Refusal::kStaleEpoch,
+      {PeerRefusal::kStaleEpoch,
        [](RawRequest* r) {
          r->header.sequence = 11;
          r->header.receiver_epoch = 7;
        },
        '1'},
-      {Refusal::kMalformed,
+      {PeerRefusal::kMalformed,
        [](RawRequest* r) {
          r->header.sequence = 12;
          r->body = std::string(40, '[') + std::string(40, ']');
        },
        '1'},
-      {Refusal::kTooLarge,
+      {PeerRefusal::kTooLarge,
        [](RawRequest* r) { r->body.assign((std::size_t{4} << 20) + 1, ' '); },
        '1'},
   };
@@ -168,7 +169,7 @@
   const auto result =
       client.Call(fixture.Target(), "echo", nlohmann::json::object(), kLimit);
   EXPECT_EQ(ErrorKind::kOutcomeUnknown, result.error().kind);
-  EXPECT_EQ(1, fixture.server->Counters().Of(Refusal::kBadMac));
+  EXPECT_EQ(1, fixture.server->Counters().Of(PeerRefusal::kBadMac));
 }
 
 // Guards against one sender that occupies all threads of the server.
@@ -180,7 +181,7 @@
   const auto result =
       client.Call(fixture.Target(), "echo", nlohmann::json::object(), kLimit);
   EXPECT_EQ(ErrorKind::kUnavailable, result.error().kind);
-  EXPECT_EQ(1, fixture.server->Counters().Of(Refusal::kBusy));
+  EXPECT_EQ(1, fixture.server->Counters().Of(PeerRefusal::kBusy));
 }
 
 }  // namespace
--- a/modules/store/tests/contract_tests.cc
+++ b/modules/store/tests/contract_tests.cc
@@ -43,9 +43,9 @@
 class HttpFixture {
  public:
   HttpFixture()
-      : server_(*HttpServer::Start("127.0.0.1", 0, [this](const auto& request) {
-          return api_.Handle(request);
-        })) {}
+      : server_(*standins::HttpServer::Start(
+            "127.0.0.1", 0,
+            [this](const auto& request) { return api_.Handle(request); })) {}
 
   auto Connect(Duration timeout = kPatient) -> ObjectStore {
     return ObjectStore(
@@ -78,9 +78,9 @@
     return Json::parse(api_.Handle({"GET", "/counters", {}, ""}).body);
   }
 
-  ObjectApiServer api_{ObjectApiRates{1e6, 1e6}};
+  standins::ObjectApiServer api_{standins::ObjectApiRates{1e6, 1e6}};
   Json rules_ = Json::array();
-  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<standins::HttpServer> server_;
 };
 
 template <typename Fixture>
@@ -287,7 +287,7 @@
 
 // Guards against a stand-in that accepts more than the platform.
 TEST(ObjectApiServerTest, RejectsCallsBeyondTheRate) {
-  ObjectApiServer api(ObjectApiRates{2, 2});
+  standins::ObjectApiServer api(standins::ObjectApiRates{2, 2});
   unsigned status = 200;
   for (int i = 0; i < 3; ++i) {
     status = api.Handle({"GET", "/v1/list", {}, ""}).status;
--- a/modules/store/tests/store_tests.cc
+++ b/modules/store/tests/store_tests.cc
@@ -40,7 +40,7 @@
 
 struct ResponseCase {
   const char* guards_against;
-  HttpReply reply;
+  standins::HttpReply reply;
   ErrorKind read;
   ErrorKind update;
 };
@@ -76,9 +76,9 @@
        ErrorKind::kUnavailable,
        ErrorKind::kUnavailable},
   };
-  HttpReply reply;
-  const auto server =
-      HttpServer::Start("127.0.0.1", 0, [&](const auto&) { return reply; });
+  standins::HttpReply reply;
+  const auto server = standins::HttpServer::Start(
+      "127.0.0.1", 0, [&](const auto&) { return reply; });
   ObjectStore store{HttpObjectStore({"127.0.0.1", (*server)->Port()})};
   for (const auto& test : cases) {
     SCOPED_TRACE(std::string("guards against ") + test.guards_against);
