Test the routing state shared by traffic threads

Cause: load counters and prefix index are used from all traffic threads without locks, and no test did that. Change: a test with 4 traffic threads and reports at the same time.

--- a/modules/routing/tests/routing_tests.cc
+++ b/modules/routing/tests/routing_tests.cc
@@ -2,8 +2,11 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <iostream>
 #include <string>
+#include <thread>
 
 #include "routing/policy/expected_cost.h"
 #include "routing/tests/routing_fixture.h"
@@ -140,6 +143,53 @@
   EXPECT_DOUBLE_EQ(load->Estimate(At(0)).queued_tokens, 0);
 }
 
+// Guards against counts lost between traffic threads, allowances exceeded by a
+// race, and (with the thread sanitizer) data races on the shared state.
+TEST(UpstreamLoad, IsSharedByTrafficThreads) {
+  constexpr std::int64_t kAllowance = 3;
+  Fleet fleet;
+  fleet.AddZone("z", false);
+  fleet.AddUpstream("e0", "z", {ModelId("m")}).allowance = kAllowance;
+  fleet.AddUpstream("e1", "z", {ModelId("m")}).allowance = kAllowance;
+  const auto table = fleet.Build();
+  PrefixIndex prefixes(PrefixIndexOptions{64});
+  std::atomic<std::int64_t> begun{0};
+  std::atomic<bool> exceeded{false};
+  const auto traffic = [&](int seed) {
+    RoutingThreadState state(seed);
+    auto request = RequestFor("m");
+    for (int i = 0; i < 2000; ++i) {
+      request.blocks = {state.random.Below(8), state.random.Below(8)};
+      const auto decision =
+          ChooseEngine(ExpectedCost{}, *table, prefixes, request, state, At(i));
+      if (!decision) continue;
+      const auto& entry = table->Entries()[decision->chosen.position];
+      auto ticket = DispatchTicket::Begin(entry.load, Tokens(10), At(i));
+      if (!ticket) continue;
+      ++begun;
+      if (entry.load->InFlight() > kAllowance) exceeded = true;
+      prefixes.RecordPrompt(request.blocks, entry.slot, At(i));
+      ticket->FirstToken();
+    }
+  };
+  std::array<std::thread, 4> threads;
+  for (int seed = 0; seed < 4; ++seed) {
+    threads[seed] = std::thread(traffic, seed);
+  }
+  for (int i = 0; i < 2000; ++i) {
+    LoadReport report;
+    report.measured_at = At(i);
+    table->LoadOf(UpstreamId("e0"))->ApplyReport(report);
+  }
+  for (auto& thread : threads) thread.join();
+  EXPECT_FALSE(exceeded);
+  EXPECT_GT(begun, 0);
+  for (const auto& entry : table->Entries()) {
+    EXPECT_EQ(entry.load->InFlight(), 0);
+    EXPECT_DOUBLE_EQ(entry.load->Estimate(At(100'000)).queued_tokens, 0);
+  }
+}
+
 // Guards against counting this daemon's sends twice or not at all when a report
 // is late, and against an estimate that grows when reports stop.
 TEST(UpstreamLoad, CorrectsLateReportsByOwnSends) {
