Reclaim a dead member's budget share only once

Cause: the protocol model shows this schedule: a member reports to a new owner and dies; the former owner, which has not acknowledged yet, reclaims its share and gives it to itself; then the new owner reclaims it again. Change: the free pool is recomputed as the whole minus what the table counts as held, instead of adding what is reclaimed. Conclusion: a share is returned at most once.

--- a/modules/budget/owner/share_table.cc
+++ b/modules/budget/owner/share_table.cc
@@ -38,23 +38,26 @@
                            Timestamp now) -> void {
   if (!holders_.emplace(member, Holder{}).second) return;
   holders_[member].held = share;
-  if (!pool_open_) return;
-  const auto free = std::max(kWhole - Held(), PartsPerMillion(0));
-  if (free < pool_.Share()) pool_.ChangeShare(free, MicroTokens(0), now);
+  Recount(MicroTokens(0), now);
 }
 
 auto ShareTable::OpenPool(Timestamp now) -> void {
   pool_open_ = true;
-  const auto free = std::max(kWhole - Held(), PartsPerMillion(0));
-  pool_.ChangeShare(free, MicroTokens(0), now);
+  Recount(MicroTokens(0), now);
 }
 
 auto ShareTable::RemoveHolder(const MemberId& member, Timestamp now) -> void {
-  const auto found = holders_.find(member);
-  if (found == holders_.end()) return;
-  const auto free = pool_.Share() + found->second.held;
-  holders_.erase(found);
-  pool_.ChangeShare(free, MicroTokens(0), now);
+  if (holders_.erase(member) != 0) Recount(MicroTokens(0), now);
+}
+
+auto ShareTable::Recount(MicroTokens brought, Timestamp now) -> void {
+  if (!pool_open_) return;
+  // The table can count more than the whole: a member that reported and died
+  // may have been reclaimed by the former owner as well, which gave its share
+  // away before it acknowledged. Adding a dead member's share to the pool would
+  // then count it twice.
+  const auto free = std::max(kWhole - Held(), PartsPerMillion(0));
+  pool_.ChangeShare(free, brought, now);
 }
 
 auto ShareTable::OnChanged(const MemberId& member, std::int64_t sequence,
@@ -66,9 +69,13 @@
   const auto share = holder.unanswered->share;
   holder.unanswered.reset();
   if (share >= holder.held) return;
-  const auto free = pool_.Share() + holder.held - share;
+  const auto given_up = holder.held - share;
   holder.held = share;
-  pool_.ChangeShare(free, released, now);
+  if (pool_open_) {
+    Recount(released, now);
+  } else {
+    pool_.ChangeShare(pool_.Share() + given_up, released, now);
+  }
 }
 
 auto ShareTable::OnDemand(const MemberId& member, const DemandTotal& total)
--- a/modules/budget/owner/share_table.h
+++ b/modules/budget/owner/share_table.h
@@ -80,6 +80,8 @@
     double demand = 0;
   };
 
+  // Sets the pool to what nobody holds, once it is open.
+  auto Recount(MicroTokens brought, Timestamp now) -> void;
   auto SmoothDemand() -> double;
   auto Target(const RebalancePolicy& policy, const Holder& holder,
               double total_demand) const -> PartsPerMillion;
--- a/modules/budget/tests/budget_tests.cc
+++ b/modules/budget/tests/budget_tests.cc
@@ -125,6 +125,23 @@
   EXPECT_EQ(limit.Permits(), 5);
 }
 
+// Guards against a dead member's share that is reclaimed twice: the former
+// owner reclaims it and gives it to `a`, which then reports more than was left,
+// and the new owner reclaims what the dead member had reported to it.
+TEST(ShareTableTest, ReclaimsAShareOnce) {
+  const auto member = [](const std::string& name) {
+    return MemberId{InstanceId(name), Incarnation(1)};
+  };
+  ShareTable table(kRate, Timestamp{});
+  table.AddHolder(member("dead"), PartsPerMillion(500'000), Timestamp{});
+  table.AddHolder(member("b"), PartsPerMillion(500'000), Timestamp{});
+  table.AddHolder(member("a"), PartsPerMillion(500'000), Timestamp{});
+  table.OpenPool(Timestamp{});
+  EXPECT_EQ(table.Free(), PartsPerMillion(0));
+  table.RemoveHolder(member("dead"), Timestamp{});
+  EXPECT_EQ(table.Held() + table.Free(), kWhole);
+}
+
 struct GuardCase {
   const char* name;
   BudgetFleetVariant variant;
