Test reachability under faults with more seeds

Change: each pair of faults uses a seed of its own, and the bound is 120 s: two pauses, takeover and load.

Conclusion: the bound follows from the faults' lengths instead of one run.

--- a/modules/placement/tests/planner_tests.cc
+++ b/modules/placement/tests/planner_tests.cc
@@ -257,15 +257,17 @@
   std::map<ModelId, Timestamp> reachable_at_;
 };
 
-// Guards against a model that stays unreachable: within 120 s under any two
-// faults that come and go, and 60 s after they end. Takeover takes up to 13 s,
-// a silent zone hides its copies for 25 s at a time, a load takes up to 6 s,
-// and an owner pauses up to 40 s.
+// Guards against a model that stays unreachable under any two faults that come
+// and go: 120 s once it was loaded, 200 s for the first load, and 60 s after
+// the faults. Takeover takes up to 13 s, a silent zone hides its copies for 25
+// s at a time, a load takes up to 6 s, and each of the two owners pauses up to
+// 40 s. The first load needs several owner steps, each of which can be paused.
 TEST(PlannerProperty, ReachableWithinBoundUnderFaults) {
   const std::vector<Fault> faults{
       Fault::kCommandLost,    Fault::kCommandLate, Fault::kAnswerLost,
       Fault::kOwnerCrash,     Fault::kOwnerPause,  Fault::kStoreOutage,
       Fault::kStoreWriteLate, Fault::kZoneSilent,  Fault::kEngineRestart};
+  std::uint64_t seed = 0;
   Duration first_load{0};
   Duration lost{0};
   Duration after{0};
@@ -273,6 +275,9 @@
     for (const auto second : faults) {
       for (const bool checks : {true, false}) {
         HarnessOptions options;
+        // Different seeds for the rows; a single one happened to stay below
+        // 25 s in all of them.
+        options.seed = ++seed;
         options.faults = {first, second};
         options.engines_check_fencing = checks;
         PlannedFleet fleet(options);
@@ -284,7 +289,7 @@
         EXPECT_LE(fleet.longest_first, std::chrono::seconds(200))
             << static_cast<int>(first) << "," << static_cast<int>(second)
             << " checks " << checks;
-        EXPECT_LE(fleet.longest_lost, std::chrono::seconds(60))
+        EXPECT_LE(fleet.longest_lost, std::chrono::seconds(120))
             << static_cast<int>(first) << "," << static_cast<int>(second)
             << " checks " << checks;
         EXPECT_LE(fleet.longest_after, std::chrono::seconds(60))
