Add fault tests of requests and datagrams

Cause: the transport must report true outcomes and run nothing twice when the network or a process fails.

--- a/modules/peer/tests/datagram_tests.cc
+++ b/modules/peer/tests/datagram_tests.cc
@@ -19,9 +19,9 @@
 // An endpoint that keeps what it receives.
 class Receiver {
  public:
-  explicit Receiver(MemberId self, char key = '1', std::uint16_t port = 0)
+  explicit Receiver(MemberId self, char key = '1')
       : endpoint_(*DatagramEndpoint::Start(
-            {{"127.0.0.1", port}, self}, Key(key),
+            {{"127.0.0.1", 0}, self}, Key(key),
             [this](const MemberId& sender, const SocketAddress&,
                    const nlohmann::json& body) {
               const std::lock_guard lock(mutex_);
@@ -100,6 +100,70 @@
   EXPECT_EQ(0, b.Endpoint().Counters().Of(Refusal::kNone));
 }
 
+// The order in which two captured datagrams arrive, and what is handled.
+struct NetworkCase {
+  std::string name;
+  std::vector<std::size_t> arrivals;
+  std::vector<std::string> handled;
+  int replays;
+};
+
+// Guards against probes that are handled twice or dropped for their order.
+TEST(Datagram, HandlesEachDatagramOnceUnderNetworkFaults) {
+  const std::vector<NetworkCase> cases{
+      {"reordered", {1, 0}, {"two", "one"}, 0},
+      {"duplicated", {0, 0, 1}, {"one", "two"}, 1},
+      {"lost", {1}, {"two"}, 0},
+      {"two at once: reordered and duplicated",
+       {1, 0, 1, 0},
+       {"two", "one"},
+       2},
+  };
+  for (const auto& test : cases) {
+    Receiver a(Id("a"));
+    Receiver b(Id("b"));
+    static_cast<void>(a.Endpoint().Send(Id("b"), b.Address(), "first"));
+    ASSERT_EQ(1U, b.Await(1).size());
+    const auto network = *DatagramSocket::Bind({"127.0.0.1", 0});
+    std::vector<std::string> captured;
+    for (const auto* body : {"one", "two"}) {
+      static_cast<void>(
+          a.Endpoint().Send(Id("b"), {"127.0.0.1", network->Port()}, body));
+      captured.emplace_back(network->Receive()->bytes);
+    }
+    for (const auto index : test.arrivals) {
+      ASSERT_TRUE(network->SendTo(b.Address(), captured[index]));
+    }
+    EXPECT_EQ(test.replays, b.AwaitCount(Refusal::kReplay, test.replays));
+    std::vector<nlohmann::json> expected{{"a", "first"}};
+    for (const auto& body : test.handled) expected.push_back({"a", body});
+    EXPECT_EQ(expected, b.Await(expected.size())) << test.name;
+  }
+}
+
+// Guards against datagrams for a dead process that its successor handles, and
+// against a restarted sender that is taken for its predecessor.
+TEST(Datagram, RestartedProcessesStartAnew) {
+  Receiver a(Id("a"));
+  Receiver b(Id("b"));
+  static_cast<void>(a.Endpoint().Send(Id("b"), b.Address(), "first"));
+  ASSERT_EQ(1U, b.Await(1).size());
+  const auto network = *DatagramSocket::Bind({"127.0.0.1", 0});
+  static_cast<void>(
+      a.Endpoint().Send(Id("b", 0), {"127.0.0.1", network->Port()}, "late"));
+  const std::string late(network->Receive()->bytes);
+  Receiver successor(Id("b", 2));
+  ASSERT_TRUE(network->SendTo(successor.Address(), late));
+  EXPECT_EQ(1, successor.AwaitCount(Refusal::kStaleEpoch, 1));
+  Receiver restarted(Id("a", 2));
+  static_cast<void>(
+      restarted.Endpoint().Send(Id("b", 2), successor.Address(), "new"));
+  EXPECT_EQ((std::vector<nlohmann::json>{{"a", "new"}}), successor.Await(1));
+  static_cast<void>(
+      a.Endpoint().Send(Id("b", 2), successor.Address(), "former"));
+  EXPECT_EQ(1, successor.AwaitCount(Refusal::kOldIncarnation, 1));
+}
+
 // Guards against crashes on malformed bytes that carry a correct MAC, and
 // against altered bytes under the MAC of others. The first run met an exception
 // of nlohmann-json for an excessive length.
--- a/modules/peer/tests/peer_request_tests.cc
+++ b/modules/peer/tests/peer_request_tests.cc
@@ -1,57 +1,18 @@
 #include <gtest/gtest.h>
 
-#include <atomic>
 #include <functional>
 
 #include "peer/peer.h"
 #include "peer/request/request_head.h"
+#include "peer/tests/request_fixture.h"
 
 namespace dotterellug {
 namespace {
 
-constexpr auto kLimit = std::chrono::seconds(20);
-
-auto Key(char digit = '1') -> FleetKey {
-  return *FleetKey::Parse(std::string(64, digit));
-}
-
-struct Fixture {
-  std::atomic<int> runs{0};
-  std::unique_ptr<PeerRequestServer> server;
-
-  explicit Fixture(std::int64_t incarnation = 3, std::uint16_t port = 0,
-                   PeerRequestServerOptions options = {}) {
-    options.listen = {"127.0.0.1", port};
-    options.self = {InstanceId{"b"}, Incarnation{incarnation}};
-    PeerMethodTable methods;
-    methods["echo"] = [this](
-                          const MemberId& sender,
-                          const nlohmann::json& in) -> Result<nlohmann::json> {
-      ++runs;
-      return nlohmann::json{{"from", sender.instance.Value()}, {"in", in}};
-    };
-    methods["fail"] = [](const MemberId&,
-                         const nlohmann::json&) -> Result<nlohmann::json> {
-      return Fail(ErrorKind::kConflict, "share changed", "read it again");
-    };
-    methods["throw"] = [](const MemberId&,
-                          const nlohmann::json&) -> Result<nlohmann::json> {
-      throw std::runtime_error("broken");
-    };
-    server = std::move(*PeerRequestServer::Start(options, Key(), methods));
-    server->SetPeers({InstanceId{"a"}});
-  }
-  auto Target() const -> PeerTarget {
-    return {InstanceId{"b"}, {"127.0.0.1", server->Port()}, {}};
-  }
-};
-
-auto Client(const char* name = "a", std::int64_t incarnation = 1,
-            char key = '1') -> PeerRequestClient {
-  PeerRequestClientOptions options;
-  options.self = {InstanceId{name}, Incarnation{incarnation}};
-  return PeerRequestClient(options, Key(key));
-}
+using testing::Client;
+using testing::Fixture;
+using testing::Key;
+using testing::kLimit;
 
 // Guards against values that change on the way through two JSON libraries.
 TEST(PeerRequest, ReturnsTheResultOfTheMethod) {
