--- a/modules/peer/benchmarks/peer_benchmark.cc
+++ b/modules/peer/benchmarks/peer_benchmark.cc
@@ -49,6 +49,7 @@
       EncodeBudgetMessage(SampleMessages(1).Budget(2)).parameters;
   const auto begin = ProcessorMicroseconds();
   std::vector<std::thread> threads;
+  threads.reserve(load.threads);
   for (int index = 0; index < load.threads; ++index) {
     threads.emplace_back([&] {
       for (int round = 0; round < load.requests_per_thread; ++round) {
--- a/modules/peer/tests/request_fault_tests.cc
+++ b/modules/peer/tests/request_fault_tests.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <mutex>
 
 #include "peer/tests/fault_relay.h"
 #include "peer/tests/request_fixture.h"
@@ -178,11 +179,13 @@
   Fixture fixture;
   auto client = Client();
   ASSERT_TRUE(client.Call(fixture.Target(), "echo", kEmpty, kLimit));
+  std::mutex mutex;
   std::string earlier;
   FaultRelay relay([&](const LoopbackSocket& socket) {
     const auto response = Forward(socket, fixture.server->Port());
-    socket.Write(earlier.empty() ? response : earlier);
-    earlier = response;
+    const std::lock_guard lock(mutex);
+    if (earlier.empty()) earlier = response;
+    socket.Write(earlier);
   });
   auto target = fixture.Target();
   target.address.port = relay.Port();
