--- a/client/tests/platform_commands_tests.cc
+++ b/client/tests/platform_commands_tests.cc
@@ -174,6 +174,39 @@
   EXPECT_EQ(Run("zones out", {"kilimani-x"}).code, ExitCode::kFailed);
 }
 
+// Guards against an edit of the same section that is lost, whatever call it
+// falls between.
+TEST_F(PlatformCommandsTest, RacingEditsOfOneSectionBothSurvive) {
+  constexpr int kCalls = 12;
+  int conflicts = 0;
+  for (int racing_call = 0; racing_call < kCalls; ++racing_call) {
+    int calls = 0;
+    auto outside = MakeOutside();
+    outside.open_deployment = [&](const Options&) {
+      const auto race = [&calls, racing_call, this] {
+        if (calls++ != racing_call) return;
+        EXPECT_EQ(Run("zones out", {"kilimani-b"}).code, ExitCode::kDone);
+      };
+      return Result<Deployment>(
+          Deployment(ObjectStore(MemoryObjectStore(
+                         backend_, std::chrono::seconds(1), race)),
+                     RetryPolicy{}));
+    };
+    const auto outcome =
+        RunNamed("zones out", {"kilimani-a"}, options_, outside);
+    ASSERT_EQ(outcome.code, ExitCode::kDone) << outcome.err;
+    if (outcome.err.find("was faster") != std::string::npos) ++conflicts;
+    const auto document = Head().document;
+    EXPECT_TRUE(document.zones.at(AvailabilityZoneId("kilimani-a")).out);
+    EXPECT_EQ(document.zones.at(AvailabilityZoneId("kilimani-b")).out,
+              racing_call < calls);
+    for (const auto* zone : {"kilimani-a", "kilimani-b"}) {
+      ASSERT_EQ(Run("zones in", {zone}).code, ExitCode::kDone);
+    }
+  }
+  EXPECT_GT(conflicts, 0);
+}
+
 // Guards against a document without any zone to serve from.
 TEST_F(PlatformCommandsTest, LastZoneStaysIn) {
   for (const auto* zone : {"kilimani-a", "kilimani-b", "kilimani-c"}) {
@@ -297,14 +330,15 @@
 // Guards against a program that differs from the commands tested above, such
 // as a flag that does not arrive or an address that is not used.
 TEST(PlatformProgramTest, WorksOverHttp) {
-  ObjectApiServer api(ObjectApiRates{});
-  const auto server = HttpServer::Start(
-      "127.0.0.1", 0,
-      [&api](const HttpRequest& request) { return api.Handle(request); });
+  standins::ObjectApiServer api(standins::ObjectApiRates{});
+  const auto server = standins::HttpServer::Start(
+      "127.0.0.1", 0, [&api](const standins::HttpRequest& request) {
+        return api.Handle(request);
+      });
   ASSERT_TRUE(server) << server.error().Text();
-  const auto daemon =
-      HttpServer::Start("127.0.0.1", 0, [](const HttpRequest& request) {
-        HttpReply reply;
+  const auto daemon = standins::HttpServer::Start(
+      "127.0.0.1", 0, [](const standins::HttpRequest& request) {
+        standins::HttpReply reply;
         reply.status = request.path == "/status" ? 200 : 404;
         reply.body = R"({"instance":"entry-1","revision":2})";
         return reply;
