--- a/daemon/control/budget_service.cc
+++ b/daemon/control/budget_service.cc
@@ -6,9 +6,11 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(500);
-// Asked beyond the missing amount, so that a steady demand does not ask for
-// each request.
-constexpr std::int64_t kTransferRequests = 8;
+// Asked beyond the missing amount at first, so that a steady demand does not
+// ask for each request. A giver that has less gives nothing, so later attempts
+// ask for the amount alone.
+constexpr std::int64_t kTransferRequests = 4;
+constexpr Duration kAskAgain = std::chrono::milliseconds(40);
 
 auto BudgetOf(const ClientAccountId& account) -> BudgetId {
   return BudgetId("account/" + account.Value());
@@ -43,7 +45,7 @@
   const auto budget = BudgetOf(account);
   std::unique_lock lock(mutex_);
   const auto until = MonotonicNow() + kTransferWait;
-  bool asked = false;
+  std::optional<Timestamp> asked_at;
   while (true) {
     const auto now = MonotonicNow();
     if (const auto charge = shard_.Holder().TryCharge(budget, amount, now)) {
@@ -52,17 +54,18 @@
         shard_.Holder().Settle(budget, charge, Tokens(used), MonotonicNow());
       }};
     }
-    if (!asked) {
-      asked = true;
-      metrics_.Count(Event::kBudgetTransfer);
-      const Tokens wanted(amount.Value() * kTransferRequests);
-      Enqueue(shard_.RequestTokens(budget, wanted, now));
-    }
-    if (now >= until ||
-        changed_.wait_until(lock, until) == std::cv_status::timeout) {
+    if (now >= until) {
       retry_after = RetryAfter(account, amount, now);
       return std::nullopt;
     }
+    if (!asked_at || now - *asked_at >= kAskAgain) {
+      const auto requests = asked_at ? 1 : kTransferRequests;
+      asked_at = now;
+      metrics_.Count(Event::kBudgetTransfer);
+      Enqueue(
+          shard_.RequestTokens(budget, Tokens(amount.Value() * requests), now));
+    }
+    changed_.wait_until(lock, std::min(until, *asked_at + kAskAgain));
   }
 }
 
--- a/daemon/control/budget_service.h
+++ b/daemon/control/budget_service.h
@@ -55,7 +55,7 @@
   auto IsOwner() -> bool;
 
  private:
-  static constexpr Duration kTransferWait = std::chrono::milliseconds(150);
+  static constexpr Duration kTransferWait = std::chrono::milliseconds(400);
 
   auto Run() -> void;
   auto Enqueue(BudgetActions actions) -> void;
--- a/modules/idempotency/owner/claim_owner.cc
+++ b/modules/idempotency/owner/claim_owner.cc
@@ -1,7 +1,6 @@
 #include "idempotency/owner/claim_owner.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace dotterellug {
@@ -10,26 +9,16 @@
 // Upper bound of an encoded record without response body and names.
 constexpr std::size_t kRecordBytes = 200;
 
-// Escaping in JSON at most doubles ordinary text; bodies for which it does not
-// suffice are not stored.
-constexpr std::size_t kEscapedSize = 2;
+// Base64 turns 3 bytes into 4 characters.
+auto EncodedBodySize(std::size_t bytes) -> std::size_t {
+  return (bytes + 2) / 3 * 4;
+}
 
 auto RecordBytes(const ClaimRecord& record) -> std::size_t {
   return kRecordBytes + record.key.Value().size() +
          record.request.Value().size() +
          record.claimant.member.instance.Value().size() +
-         kEscapedSize * record.response.body.size();
-}
-
-// Whether the text form of the body stays within what RecordBytes allows.
-auto BodyMayBeStored(const std::string& body, std::size_t limit) -> bool {
-  if (body.size() > limit) return false;
-  const nlohmann::json json(body);
-  const auto text =
-      json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  // A body that is not UTF-8 would come back changed.
-  return nlohmann::json::parse(text) == json &&
-         text.size() <= kEscapedSize * body.size() + 2;
+         EncodedBodySize(record.response.body.size());
 }
 
 }  // namespace
@@ -132,7 +121,7 @@
   if (entry.record.state == ClaimState::kRunning) {
     entry.record.state = result.state;
     entry.record.response = result.response;
-    if (!BodyMayBeStored(result.response.body, policy_.max_response_bytes) ||
+    if (result.response.body.size() > policy_.max_response_bytes ||
         LogBytes() > policy_.max_log_bytes) {
       entry.record.response.body.clear();
       entry.record.response.body_stored = false;
--- a/modules/idempotency/record/claim_log.cc
+++ b/modules/idempotency/record/claim_log.cc
@@ -1,5 +1,7 @@
 #include "idempotency/record/claim_log.h"
 
+#include <sodium.h>
+
 #include <nlohmann/json.hpp>
 
 namespace dotterellug {
@@ -7,6 +9,30 @@
 
 using Json = nlohmann::json;
 
+// Bodies can hold any bytes, while values of the object API are UTF-8 text.
+auto EncodeBody(const std::string& body) -> std::string {
+  constexpr auto kVariant = sodium_base64_VARIANT_ORIGINAL;
+  std::string text(sodium_base64_encoded_len(body.size(), kVariant), '\0');
+  sodium_bin2base64(text.data(), text.size(),
+                    reinterpret_cast<const unsigned char*>(body.data()),
+                    body.size(), kVariant);
+  text.pop_back();
+  return text;
+}
+
+// Throws std::invalid_argument, which ParseClaimLog reports.
+auto DecodeBody(const std::string& text) -> std::string {
+  std::string body(text.size(), '\0');
+  std::size_t size = 0;
+  if (sodium_base642bin(reinterpret_cast<unsigned char*>(body.data()),
+                        body.size(), text.data(), text.size(), nullptr, &size,
+                        nullptr, sodium_base64_VARIANT_ORIGINAL) != 0) {
+    throw std::invalid_argument("body is not base64");
+  }
+  body.resize(size);
+  return body;
+}
+
 auto ToJson(const ClaimRecord& record) -> Json {
   return {{"key", record.key.Value()},
           {"request", record.request.Value()},
@@ -15,7 +41,7 @@
           {"sequence", record.claimant.sequence},
           {"state", static_cast<int>(record.state)},
           {"status", record.response.status},
-          {"body", record.response.body},
+          {"body", EncodeBody(record.response.body)},
           {"body_stored", record.response.body_stored},
           {"claimed_at", record.claimed_at.time_since_epoch().count()}};
 }
@@ -38,7 +64,7 @@
                  : state == 1 ? ClaimState::kDone
                               : ClaimState::kUnknown;
   record.response.status = json.at("status").get<int>();
-  record.response.body = json.at("body").get<std::string>();
+  record.response.body = DecodeBody(json.at("body").get<std::string>());
   record.response.body_stored = json.at("body_stored").get<bool>();
   record.claimed_at = ToWallTime(json.at("claimed_at"));
   return record;
@@ -59,7 +85,7 @@
       {"unknown_until", log.unknown_until.time_since_epoch().count()},
       {"records", std::move(records)}};
   // Values of the object API are UTF-8 text.
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return json.dump();
 }
 
 auto ParseClaimLog(std::string_view value) -> Result<ClaimLog> {
@@ -73,7 +99,7 @@
       log.records.push_back(ToRecord(record));
     }
     return log;
-  } catch (const Json::exception& error) {
+  } catch (const std::exception& error) {
     return Fail(ErrorKind::kProtocol,
                 std::string("claim log cannot be read: ") + error.what(),
                 "restore the claim object; without it, calls could run twice");
