Show the state of daemons by dotterellugctl status

Cause: operators could read the state of a daemon only as raw JSON of its admin address, one daemon at a time.

Change: `status` shows one row per daemon of `--daemons` with revision, lag, currency age, open requests, draining, isolated, owner roles and members not live, and with `--budgets` share and available tokens of each budget. Absent fields are shown as "-". Exit code 1 when a daemon does not answer. Reading `--daemons` moved out of `wait`, so that both commands report the same faults.

Conclusion: `claim_shards_owned` is shown when it is a whole number; daemons do not send it yet.

--- a/client/commands/command_table.cc
+++ b/client/commands/command_table.cc
@@ -7,6 +7,7 @@
 #include "client/commands/file_commands.h"
 #include "client/commands/key_commands.h"
 #include "client/commands/section_commands.h"
+#include "client/commands/status_command.h"
 #include "client/commands/wait_command.h"
 #include "client/commands/zone_commands.h"
 
@@ -73,6 +74,7 @@
     for (auto& command : KeyCommands()) all.push_back(std::move(command));
     for (auto& command : ZoneCommands()) all.push_back(std::move(command));
     all.push_back(WaitCommand());
+    all.push_back(StatusCommand());
     all.push_back({"completion",
                    "bash",
                    "print a shell completion script",
--- a/client/commands/wait_command.cc
+++ b/client/commands/wait_command.cc
@@ -4,14 +4,13 @@
 #include <utility>
 
 #include "client/commands/change_section.h"
+#include "client/platform/daemon_list.h"
 
 namespace dotterellug {
 
 namespace {
 
 constexpr Duration kPollPause = std::chrono::milliseconds(250);
-// A daemon that does not answer must not keep the others from being asked.
-constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
 
 // What one daemon answered last.
 struct DaemonState {
@@ -25,26 +24,6 @@
   }
 };
 
-auto ParseDaemons(const std::string& text) -> Result<std::vector<DaemonState>> {
-  std::vector<DaemonState> daemons;
-  std::size_t begin = 0;
-  while (begin <= text.size()) {
-    const auto end = std::min(text.find(',', begin), text.size());
-    const auto word = text.substr(begin, end - begin);
-    const auto address = ParseSocketAddress(word);
-    if (!address) {
-      return Fail(
-          ErrorKind::kInvalidArgument,
-          "--daemons has \"" + Shorten(word) + "\", " + address.error().message,
-          "write admin addresses separated by commas, such as "
-          "127.0.0.1:25201,127.0.0.1:25202");
-    }
-    daemons.push_back(DaemonState{*address, "", std::nullopt, ""});
-    begin = end + 1;
-  }
-  return daemons;
-}
-
 // Reads {"instance": "entry-1", "revision": 17, ...}.
 void ParseStatus(const std::string& text, DaemonState& daemon) {
   const auto json = nlohmann::json::parse(text, nullptr, false);
@@ -63,7 +42,7 @@
 
 void Ask(const Invocation& invocation, DaemonState& daemon) {
   const auto status =
-      invocation.outside.fetch_status(daemon.address, kAnswerTimeout);
+      invocation.outside.fetch_status(daemon.address, kStatusTimeout);
   if (status) {
     ParseStatus(*status, daemon);
   } else {
@@ -107,9 +86,13 @@
 }
 
 auto RunWait(const Invocation& invocation) -> ExitCode {
-  auto daemons = ParseDaemons(invocation.options.daemons);
-  if (!daemons) {
-    return ReportError(invocation, daemons.error(), ExitCode::kUsage);
+  const auto addresses = ParseDaemons(invocation.options.daemons);
+  if (!addresses) {
+    return ReportError(invocation, addresses.error(), ExitCode::kUsage);
+  }
+  std::vector<DaemonState> daemons;
+  for (const auto& address : *addresses) {
+    daemons.push_back(DaemonState{address, "", std::nullopt, ""});
   }
   const auto wanted = WantedRevision(invocation);
   if (!wanted) {
@@ -118,9 +101,9 @@
                           : ExitCode::kFailed;
     return ReportError(invocation, wanted.error(), code);
   }
-  const auto lagging = Poll(invocation, *wanted, *daemons);
+  const auto lagging = Poll(invocation, *wanted, daemons);
   OutputTable table{{"daemon", "instance", "revision", "state"}, {}};
-  for (const auto& daemon : *daemons) {
+  for (const auto& daemon : daemons) {
     table.rows.push_back(
         {daemon.address.Text(), daemon.instance,
          daemon.revision ? std::to_string(daemon.revision->Value()) : "-",
@@ -128,7 +111,7 @@
   }
   WriteTable(table, invocation.options.output, invocation.out);
   invocation.err << "revision " << *wanted << " is in force on "
-                 << daemons->size() - lagging << " of " << daemons->size()
+                 << daemons.size() - lagging << " of " << daemons.size()
                  << " daemons\n";
   return lagging == 0 ? ExitCode::kDone : ExitCode::kFailed;
 }
--- a/client/options/options.cc
+++ b/client/options/options.cc
@@ -9,6 +9,8 @@
 DEFINE_string(output, "table", "form of the output: table, json or yaml");
 DEFINE_bool(dry_run, false, "print what would change and change nothing");
 DEFINE_bool(settings, false, "the files are daemon settings");
+DEFINE_bool(budgets, false,
+            "show share and available tokens of each budget as well");
 DEFINE_string(account, "", "client account");
 DEFINE_string(digest_key_file, "",
               "file with the deployment's digest key, 64 hexadecimal digits");
@@ -71,6 +73,7 @@
       FindOutputFormat(FLAGS_output).value_or(OutputFormat::kTable);
   options.dry_run = FLAGS_dry_run;
   options.settings = FLAGS_settings;
+  options.budgets = FLAGS_budgets;
   options.account = FLAGS_account;
   options.digest_key_file = FLAGS_digest_key_file;
   options.key_file = FLAGS_key_file;
--- a/client/options/options.h
+++ b/client/options/options.h
@@ -14,6 +14,7 @@
   OutputFormat output = OutputFormat::kTable;
   bool dry_run = false;
   bool settings = false;
+  bool budgets = false;
   std::string account;
   std::string digest_key_file;
   std::string key_file;
--- a/client/tests/platform_commands_tests.cc
+++ b/client/tests/platform_commands_tests.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iterator>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "client/files/document_files.h"
@@ -65,11 +66,18 @@
   }
 
   // The daemon on port 1 has revision 5, that on port 2 one older, that on
-  // port 3 a damaged status; others do not answer.
+  // port 3 a damaged status, that on port 5 all fields; others do not answer.
   static auto FetchStatus(const SocketAddress& address) -> Result<std::string> {
     if (address.port == 1) return R"({"instance":"e1","revision":5})";
     if (address.port == 2) return R"({"instance":"e2","revision":4})";
     if (address.port == 3) return R"({"revision":"5"})";
+    if (address.port == 5) {
+      return R"({"instance":"e5","availability_zone":"a","revision":6,
+        "draining":true,"isolated":false,"placement_owner":true,
+        "budget_owner":false,"claim_shards_owned":3,"currency_age_ms":120,
+        "open_requests":7,"members":{"e1":"live","e2":"gone"},
+        "budgets":{"account/x":{"share_ppm":250000,"available":-40}}})";
+    }
     return Fail(ErrorKind::kUnavailable, "no answer", "");
   }
 
@@ -327,6 +335,49 @@
   EXPECT_EQ(Run("wait", {}, options).code, ExitCode::kUsage);
 }
 
+// Guards against a field that is shown as another one, and against an absent
+// field that is shown as a value.
+TEST_F(PlatformCommandsTest, StatusShowsFieldsLagAndBudgets) {
+  auto options = options_;
+  options.daemons = "127.0.0.1:5,127.0.0.1:2";
+  options.budgets = true;
+  options.output = OutputFormat::kJson;
+  const auto outcome = Run("status", {}, options);
+  EXPECT_EQ(outcome.code, ExitCode::kDone) << outcome.err;
+  const auto expected = nlohmann::json::parse(R"([
+    {"daemon":"127.0.0.1:5","instance":"e5","zone":"a","revision":"6",
+     "lag":"0","currency_age_ms":"120","open_requests":"7","draining":"yes",
+     "isolated":"no","placement_owner":"yes","budget_owner":"no",
+     "claim_shards_owned":"3","members_not_live":"e2 gone",
+     "answer":"answered","account/x share_ppm":"250000",
+     "account/x available":"-40"},
+    {"daemon":"127.0.0.1:2","instance":"e2","zone":"-","revision":"4",
+     "lag":"2","currency_age_ms":"-","open_requests":"-","draining":"-",
+     "isolated":"-","placement_owner":"-","budget_owner":"-",
+     "claim_shards_owned":"-","members_not_live":"-","answer":"answered",
+     "account/x share_ppm":"-","account/x available":"-"}])");
+  EXPECT_EQ(nlohmann::json::parse(outcome.out), expected);
+  options.budgets = false;
+  options.output = OutputFormat::kYaml;
+  const auto yaml = Run("status", {}, options).out;
+  EXPECT_NE(yaml.find("claim_shards_owned: \"3\""), std::string::npos) << yaml;
+  EXPECT_EQ(yaml.find("account/x"), std::string::npos);
+}
+
+// Guards against a silent daemon that is left out or reported as success.
+TEST_F(PlatformCommandsTest, StatusFailsWhenADaemonDoesNotAnswer) {
+  auto options = options_;
+  options.daemons = "127.0.0.1:4,127.0.0.1:3";
+  const auto outcome = Run("status", {}, options);
+  EXPECT_EQ(outcome.code, ExitCode::kFailed);
+  EXPECT_NE(outcome.out.find("127.0.0.1:4  -"), std::string::npos)
+      << outcome.out;
+  EXPECT_NE(outcome.out.find("no answer"), std::string::npos);
+  EXPECT_EQ(outcome.err, "1 of 2 daemons answered\n");
+  options.daemons = "";
+  EXPECT_EQ(Run("status", {}, options).code, ExitCode::kUsage);
+}
+
 // Guards against a program that differs from the commands tested above, such
 // as a flag that does not arrive or an address that is not used.
 TEST(PlatformProgramTest, WorksOverHttp) {
@@ -359,6 +410,10 @@
   const auto daemons =
       "wait --daemons 127.0.0.1:" + std::to_string((*daemon)->Port());
   EXPECT_EQ(run(daemons), 0);
+  EXPECT_EQ(std::system((std::string(DOTTERELLUGCTL) + " status --budgets" +
+                         daemons.substr(4) + " >/dev/null 2>/dev/null")
+                            .c_str()),
+            0);
   EXPECT_EQ(run("zones out kilimani-b"), 0);
   EXPECT_EQ(run(daemons + " --timeout 0"), 1);
 }
