--- a/modules/telemetry/telemetry.h
+++ b/modules/telemetry/telemetry.h
@@ -6,4 +6,5 @@
 
 #include "telemetry/logging/state_log.h"
 #include "telemetry/metrics/label_limit.h"
+#include "telemetry/metrics/metric_table.h"
 #include "telemetry/metrics/metrics.h"
