--- a/modules/peer/tests/datagram_tests.cc
+++ b/modules/peer/tests/datagram_tests.cc
@@ -135,7 +135,7 @@
     for (const auto index : test.arrivals) {
       ASSERT_TRUE(network->SendTo(b.Address(), captured[index]));
     }
-    EXPECT_EQ(test.replays, b.AwaitCount(Refusal::kReplay, test.replays));
+    EXPECT_EQ(test.replays, b.AwaitCount(PeerRefusal::kReplay, test.replays));
     std::vector<nlohmann::json> expected{{"a", "first"}};
     for (const auto& body : test.handled) expected.push_back({"a", body});
     EXPECT_EQ(expected, b.Await(expected.size())) << test.name;
@@ -155,14 +155,14 @@
   const std::string late(network->Receive()->bytes);
   Receiver successor(Id("b", 2));
   ASSERT_TRUE(network->SendTo(successor.Address(), late));
-  EXPECT_EQ(1, successor.AwaitCount(Refusal::kStaleEpoch, 1));
+  EXPECT_EQ(1, successor.AwaitCount(PeerRefusal::kStaleEpoch, 1));
   Receiver restarted(Id("a", 2));
   static_cast<void>(
       restarted.Endpoint().Send(Id("b", 2), successor.Address(), "new"));
   EXPECT_EQ((std::vector<nlohmann::json>{{"a", "new"}}), successor.Await(1));
   static_cast<void>(
       a.Endpoint().Send(Id("b", 2), successor.Address(), "former"));
-  EXPECT_EQ(1, successor.AwaitCount(Refusal::kOldIncarnation, 1));
+  EXPECT_EQ(1, successor.AwaitCount(PeerRefusal::kOldIncarnation, 1));
 }
 
 // Guards against crashes on malformed bytes that carry a correct MAC, and
--- a/modules/peer/tests/request_fault_tests.cc
+++ b/modules/peer/tests/request_fault_tests.cc
@@ -129,7 +129,7 @@
           << test.name << ": " << result.error().Text();
     }
     EXPECT_EQ(test.runs, fixture.runs - 1) << test.name;
-    EXPECT_EQ(test.replays, fixture.server->Counters().Of(Refusal::kReplay))
+    EXPECT_EQ(test.replays, fixture.server->Counters().Of(PeerRefusal::kReplay))
         << test.name;
   }
 }
@@ -210,7 +210,7 @@
   // The request for any process is refused once for its epoch and then runs.
   EXPECT_TRUE(client.Call(target, "echo", kEmpty, kLimit));
   EXPECT_EQ(1, successor.runs);
-  EXPECT_EQ(1, successor.server->Counters().Of(Refusal::kStaleEpoch));
+  EXPECT_EQ(1, successor.server->Counters().Of(PeerRefusal::kStaleEpoch));
   target.incarnation = Incarnation{3};
   const auto refused = client.Call(target, "echo", kEmpty, kLimit);
   EXPECT_EQ(ErrorKind::kUnavailable, refused.error().kind);
@@ -236,7 +236,7 @@
   Fixture successor(4);
   FaultRelay::Forward(successor.server->Port(), late);
   EXPECT_EQ(0, successor.runs);
-  EXPECT_EQ(1, successor.server->Counters().Of(Refusal::kStaleEpoch));
+  EXPECT_EQ(1, successor.server->Counters().Of(PeerRefusal::kStaleEpoch));
 }
 
 }  // namespace
