Divide the allowance of each upstream among the live daemons

Cause: every daemon used the whole allowance of a cold upstream, so 8 daemons could send 8 times what it bears; nothing fed the ramp, so it never grew; a daemon reported itself isolated for a second after its start; lost conditional updates counted as store errors. Change: the allowance follows the responses that an upstream reports since its start, which all daemons see alike, and is divided by rank among the live daemons so that the parts add up to it. The proof of currency is noted when a revision is adopted. The gauge of waiting requests is set. Conclusion: the sum over daemons equals the allowance when their views agree; views differ for about a second after a change.

--- a/daemon/app/daemon.cc
+++ b/daemon/app/daemon.cc
@@ -203,6 +203,13 @@
       }
       if (MonotonicNow() < next_demand) continue;
       next_demand = MonotonicNow() + kDemandInterval;
+      LiveDaemons live;
+      for (const auto& peer : hub_->Status()) {
+        const bool serves = peer.state == MemberState::kLive ||
+                            peer.state == MemberState::kSuspected;
+        if (serves) live.daemons.insert(peer.instance);
+      }
+      control_->Send(std::move(live));
       SendDemand();
     }
   }
--- a/daemon/control/budget_service.cc
+++ b/daemon/control/budget_service.cc
@@ -191,7 +191,10 @@
 
 auto BudgetService::Write(const WriteObject& write) -> void {
   const auto written = store_->Put(write.name, write.value, write.expected);
-  if (!written) metrics_.Count(Event::kStoreError);
+  // A lost conditional update is part of normal operation.
+  if (!written && written.error().kind != ErrorKind::kConflict) {
+    metrics_.Count(Event::kStoreError);
+  }
   const std::lock_guard lock(mutex_);
   Enqueue(shard_.OnWrite(WriteOutcomeOf(written), MonotonicNow()));
 }
--- a/daemon/control/claim_service.cc
+++ b/daemon/control/claim_service.cc
@@ -211,7 +211,10 @@
 
 auto ClaimService::Write(std::size_t part, const WriteObject& write) -> void {
   const auto written = store_->Put(write.name, write.value, write.expected);
-  if (!written) metrics_.Count(Event::kStoreError);
+  // A lost conditional update is part of normal operation.
+  if (!written && written.error().kind != ErrorKind::kConflict) {
+    metrics_.Count(Event::kStoreError);
+  }
   const std::lock_guard lock(mutex_);
   Enqueue(part,
           parts_[part].shard.OnWrite(write, WriteOutcomeOf(written),
--- a/daemon/control/control_event.h
+++ b/daemon/control/control_event.h
@@ -42,9 +42,13 @@
   Timestamp proved_at;
 };
 
+struct LiveDaemons {
+  std::set<InstanceId> daemons;
+};
+
 using ControlEvent =
     std::variant<UpstreamObservation, StoreAnswered, StoreFailed,
-                 RevisionFetched, RevisionRejected, InstanceListRead,
-                 PeerProof>;
+                 RevisionFetched, RevisionRejected, InstanceListRead, PeerProof,
+                 LiveDaemons>;
 
 }  // namespace dotterellug
--- a/daemon/control/control_loop.cc
+++ b/daemon/control/control_loop.cc
@@ -20,7 +20,9 @@
     : state_(state),
       digest_key_(digest_key),
       follower_({}),
-      own_zone_(settings.availability_zone) {
+      own_zone_(settings.availability_zone),
+      self_(settings.instance) {
+  fleet_.SetDaemons(self_, {});
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -55,8 +57,11 @@
             if (fleet_.Observe(observation, now)) PublishRouting();
           },
           [&](StoreAnswered& answer) {
-            if (!store_up_) LogState(LogSeverity::kInfo, "object API answers");
+            if (store_up_ != true) {
+              LogState(LogSeverity::kInfo, "object API answers");
+            }
             store_up_ = true;
+            answered_at_ = answer.asked_at;
             if (answer.ref) {
               const auto result = follower_.OnStoreAnswer(*answer.ref);
               if (result == OfferResult::kIgnored) {
@@ -71,7 +76,7 @@
           },
           [&](StoreFailed&) {
             state_.metrics.Count(Event::kStoreError);
-            if (store_up_) {
+            if (store_up_ != false) {
               LogState(LogSeverity::kWarning, "object API does not answer");
             }
             store_up_ = false;
@@ -84,6 +89,11 @@
                       {"fault", rejected.fault}});
           },
           [&](InstanceListRead& list) { ApplyInstanceList(list); },
+          [&](LiveDaemons& live) {
+            if (fleet_.SetDaemons(self_, std::move(live.daemons))) {
+              PublishRouting();
+            }
+          },
           [&](PeerProof& proof) {
             if (proof.revision == follower_.Current().number) {
               NoteProof(proof.proved_at);
@@ -97,6 +107,7 @@
     state_.metrics.Count(Event::kStaleRevision);
     return;
   }
+  if (follower_.Current() == follower_.Target()) NoteProof(answered_at_);
   const auto snapshot = MakeSnapshot(fetched.ref.number,
                                      std::move(fetched.document), digest_key_);
   fleet_.SetSnapshot(snapshot);
@@ -157,6 +168,13 @@
 
 auto ControlLoop::Tick() -> void {
   if (fleet_.Expire(MonotonicNow())) PublishRouting();
+  std::size_t waiting = 0;
+  for (const auto priority :
+       {PriorityClass::kInteractive, PriorityClass::kStandard,
+        PriorityClass::kBatch}) {
+    waiting += state_.gate.Waiting(priority);
+  }
+  state_.metrics.Set(Level::kWaitingRequests, static_cast<double>(waiting));
   CheckIsolation(MonotonicNow());
   state_.metrics.Set(Level::kUpstreamsUp,
                      static_cast<double>(fleet_.UpCount()));
--- a/daemon/control/control_loop.h
+++ b/daemon/control/control_loop.h
@@ -67,7 +67,11 @@
   AvailabilityZoneId own_zone_;
   Mailbox<ControlEvent> mailbox_;
   Timestamp proved_at_;
-  bool store_up_ = false;
+  // Time of the last store answer, which proves a revision current that is
+  // adopted after it.
+  Timestamp answered_at_;
+  std::optional<bool> store_up_;
+  InstanceId self_;
   std::atomic<std::int64_t> proved_at_us_{0};
   std::atomic<bool> ready_{false};
   std::atomic<bool> stopping_{false};
--- a/daemon/control/fleet_view.cc
+++ b/daemon/control/fleet_view.cc
@@ -11,15 +11,12 @@
   for (const auto& [id, upstream] : upstreams) {
     if (seen_.count(id) > 0) continue;
     seen_[id] = {};
-    ramp_.AddUpstream(id, upstream.zone, upstream.cold_concurrency,
-                      upstream.warm_concurrency);
   }
   for (auto it = seen_.begin(); it != seen_.end();) {
     if (upstreams.count(it->first) > 0) {
       ++it;
       continue;
     }
-    ramp_.RemoveUpstream(it->first);
     it = seen_.erase(it);
   }
 }
@@ -33,16 +30,15 @@
   const bool changed = !seen.up || seen.models != observation.models ||
                        seen.adapters != observation.adapters ||
                        seen.incarnation != observation.incarnation;
-  if (seen.incarnation != observation.incarnation) {
-    ramp_.Handle(
-        now, IncarnationSeen{observation.upstream, observation.incarnation});
-  }
+  const auto allowance = Allowance(observation.upstream);
   seen.up = true;
   seen.answered_at = now;
   seen.incarnation = observation.incarnation;
   seen.models = observation.models;
   seen.adapters = observation.adapters;
-  return changed;
+  seen.cold = observation.cold;
+  seen.completed = observation.completed;
+  return changed || allowance != Allowance(observation.upstream);
 }
 
 auto FleetView::SetLeaving(std::set<UpstreamId> leaving) -> bool {
@@ -73,14 +69,55 @@
                                             : UpstreamState::kLive;
     status.models = seen.models;
     status.adapters = seen.adapters;
-    // At least one request, so that a small share does not make the upstream
-    // unreachable from this daemon.
-    status.allowance = std::max<std::int64_t>(1, ramp_.PartOf(id, share_));
+    status.allowance = PartOf(id);
     inputs.statuses.push_back(std::move(status));
   }
   return RoutingTable::Build(inputs, previous);
 }
 
+auto FleetView::SetDaemons(const InstanceId& self, std::set<InstanceId> daemons)
+    -> bool {
+  daemons.insert(self);
+  if (self == self_ && daemons == daemons_) return false;
+  self_ = self;
+  daemons_ = std::move(daemons);
+  return true;
+}
+
+auto FleetView::Allowance(const UpstreamId& upstream) const -> std::int64_t {
+  const auto configured = snapshot_->document.upstreams.find(upstream);
+  const auto found = seen_.find(upstream);
+  if (configured == snapshot_->document.upstreams.end() ||
+      found == seen_.end()) {
+    return 0;
+  }
+  const auto warm = configured->second.warm_concurrency;
+  const auto& seen = found->second;
+  if (seen.cold && !*seen.cold) return warm;
+  auto allowance =
+      std::max<std::int64_t>(1, configured->second.cold_concurrency);
+  auto completed = seen.completed;
+  while (allowance < warm && completed >= allowance) {
+    completed -= allowance;
+    allowance *= 2;
+  }
+  return std::min(allowance, warm);
+}
+
+auto FleetView::PartOf(const UpstreamId& upstream) const -> std::int64_t {
+  const auto allowance = Allowance(upstream);
+  if (daemons_.size() <= 1) return allowance;
+  const auto count = static_cast<std::int64_t>(daemons_.size());
+  const auto own = RendezvousWeight(upstream.Value(), self_.Value());
+  // The remainder goes to the daemons with the highest weights for this
+  // upstream, so that it is spread over the daemons.
+  const auto rank = std::count_if(
+      daemons_.begin(), daemons_.end(), [&](const InstanceId& daemon) {
+        return RendezvousWeight(upstream.Value(), daemon.Value()) > own;
+      });
+  return allowance / count + (rank < allowance % count ? 1 : 0);
+}
+
 auto FleetView::UpCount() const -> std::int64_t {
   return std::count_if(seen_.begin(), seen_.end(),
                        [](const auto& entry) { return entry.second.up; });
--- a/daemon/control/fleet_view.h
+++ b/daemon/control/fleet_view.h
@@ -2,12 +2,12 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "core/core.h"
 #include "daemon/control/upstream_monitor.h"
 #include "document/document.h"
-#include "placement/ramp/cold_start_ramp.h"
 #include "routing/routing.h"
 
 namespace dotterellug {
@@ -29,12 +29,19 @@
   auto SetLeaving(std::set<UpstreamId> leaving) -> bool;
   // Upstreams whose last answer is too old go down. Returns true on a change.
   auto Expire(Timestamp now) -> bool;
-  // This daemon's part of each upstream's cold-start allowance.
-  auto SetShare(PartsPerMillion share) -> void { share_ = share; }
+  // The live daemons, among which each upstream's allowance is divided, and
+  // which of them this one is. Returns true on a change.
+  auto SetDaemons(const InstanceId& self, std::set<InstanceId> daemons) -> bool;
+  // Requests that an upstream bears from all daemons together now: its cold
+  // concurrency at first, doubled each time as many responses are complete.
+  // Every daemon derives it from the upstream's own reports.
+  auto Allowance(const UpstreamId& upstream) const -> std::int64_t;
+  // This daemon's part; over all daemons with the same view the parts add up to
+  // the allowance.
+  auto PartOf(const UpstreamId& upstream) const -> std::int64_t;
 
   auto BuildTable(const RoutingTable* previous) const
       -> std::shared_ptr<const RoutingTable>;
-  auto Ramp() -> ColdStartRamp& { return ramp_; }
   auto UpCount() const -> std::int64_t;
 
  private:
@@ -42,6 +49,8 @@
     bool up = false;
     Timestamp answered_at;
     Incarnation incarnation;
+    std::optional<bool> cold;
+    std::int64_t completed = 0;
     std::vector<ModelId> models;
     std::vector<AdapterId> adapters;
   };
@@ -49,8 +58,8 @@
   SharedSnapshot snapshot_;
   std::map<UpstreamId, Seen> seen_;
   std::set<UpstreamId> leaving_;
-  ColdStartRamp ramp_;
-  PartsPerMillion share_ = kWhole;
+  InstanceId self_;
+  std::set<InstanceId> daemons_;
 };
 
 }  // namespace dotterellug
--- a/daemon/control/upstream_monitor.cc
+++ b/daemon/control/upstream_monitor.cc
@@ -26,7 +26,10 @@
       std::chrono::milliseconds(json.value("age_ms", std::int64_t{0}));
   observation.incarnation =
       Incarnation(json.value("incarnation", std::int64_t{0}));
-  observation.cold = json.value("cold", false);
+  if (const auto cold = json.find("cold"); cold != json.end()) {
+    observation.cold = cold->get<bool>();
+  }
+  observation.completed = json.value("completed", std::int64_t{0});
   observation.load.measured_at = now - age;
   observation.sampled_at = observation.asked_at - age;
   observation.load.running_requests = json.value("running", std::int64_t{0});
--- a/daemon/control/upstream_monitor.h
+++ b/daemon/control/upstream_monitor.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -21,7 +22,10 @@
   bool reachable = false;
   // Grows when the engine restarts or turns cold.
   Incarnation incarnation;
-  bool cold = false;
+  // What the upstream says about itself, if it does.
+  std::optional<bool> cold;
+  // Responses since its start.
+  std::int64_t completed = 0;
   LoadReport load;
   std::vector<ModelId> models;
   std::vector<AdapterId> adapters;
--- a/extras/standins/engine/engine_server.cc
+++ b/extras/standins/engine/engine_server.cc
@@ -97,6 +97,7 @@
     if (const auto cold = faults_.Take("cold")) {
       cold_left_ = std::max<std::int64_t>(cold->after_events, 20);
       ++incarnation_;
+      completed_ = 0;
       prefix_cache_.Clear();
     }
     return JsonResponse(200, Json::object());
@@ -196,6 +197,11 @@
   return response;
 }
 
+auto EngineServer::NoteCompleted() -> void {
+  ++completed_;
+  if (cold_left_ > 0) --cold_left_;
+}
+
 auto EngineServer::Interval() const -> Duration {
   // Decoding slows down as the batch fills; a cold engine takes three times
   // as long.
@@ -228,7 +234,7 @@
     if (caller.IsClosed()) return BodyAbort{};
     if (work->next_event > work->last_event) {
       work->finished = true;
-      if (cold_left_ > 0) --cold_left_;
+      NoteCompleted();
       const Json usage = {{"id", work->request_id},
                           {"choices", Json::array()},
                           {"usage",
@@ -263,7 +269,7 @@
     text += NextToken(*work);
   }
   work->finished = true;
-  if (cold_left_ > 0) --cold_left_;
+  NoteCompleted();
   Json choice = {{"index", 0}, {"finish_reason", "length"}};
   if (work->chat) {
     choice["message"] = {{"role", "assistant"}, {"content", text}};
@@ -348,6 +354,7 @@
                     {"memory_used", memory.used.Value()},
                     {"memory_capacity", memory.capacity.Value()},
                     {"cold", cold_left_ > 0},
+                    {"completed", completed_.load()},
                     {"resident", resident}})
                   .dump();
   }
--- a/extras/standins/engine/engine_server.h
+++ b/extras/standins/engine/engine_server.h
@@ -74,6 +74,7 @@
   auto HandleCacheEvents(const HttpRequest& request) -> HttpResponse;
   auto Report() -> HttpResponse;
   auto Ledger() -> HttpResponse;
+  auto NoteCompleted() -> void;
   auto NextToken(Work& work) -> std::string;
   auto Interval() const -> Duration;
   auto NoteKeys(const HttpRequest& request) -> void;
@@ -92,6 +93,7 @@
   std::int64_t cold_failures_ = 0;
   std::atomic<std::int64_t> cold_left_;
   std::atomic<std::int64_t> open_{0};
+  std::atomic<std::int64_t> completed_{0};
   std::int64_t incarnation_ = 1;
   std::string report_;
   Timestamp report_time_;
--- a/modules/placement/benchmarks/policies.h
+++ b/modules/placement/benchmarks/policies.h
@@ -146,7 +146,8 @@
   void Step(Simulation& simulation) {
     const auto now = Timestamp(FromSeconds(simulation.now + 1000));
     const auto count = static_cast<int>(simulation.Traffic().weights.size());
-    ModelDemandReport report{InstanceId("one"), Incarnation(1), ++sequence_, {}};
+    ModelDemandReport report{
+        InstanceId("one"), Incarnation(1), ++sequence_, {}};
     for (int model = 0; model < count; ++model) {
       // A thousand tokens per request keep the fractions.
       report.models[Id(model)].admitted =
