--- a/modules/membership/benchmarks/membership_traffic.cc
+++ b/modules/membership/benchmarks/membership_traffic.cc
@@ -1,11 +1,13 @@
 // Prints, as CSV, the messages and bytes that one daemon sends per second for
 // failure detection at several fleet sizes, on a simulated network: right after
 // the whole fleet started, at rest, and while a quarter of the fleet is cut
-// off. Bytes are encoded messages without the headers of IP and UDP and without
-// authentication. The processor time includes that of the simulation.
+// off, or a third with the argument `region`. Bytes are encoded messages
+// without the headers of IP and UDP and without authentication. The processor
+// time includes that of the simulation.
 
 #include <cstdio>
 #include <ctime>
+#include <string>
 
 #include "membership/tests/simulated_fleet.h"
 
@@ -31,28 +33,38 @@
   std::fflush(stdout);
 }
 
-void Measure(std::size_t members) {
+struct CutOff {
+  const char* phase;
+  // One in this many members is cut off.
+  std::size_t divisor;
+};
+
+void Measure(std::size_t members, const CutOff& cut) {
   SimulatedFleet fleet(members, 42);
   MeasurePhase("start", members, fleet);
   // By then each daemon has passed on the start of all others.
   fleet.RunFor(std::chrono::seconds(60 + members));
   MeasurePhase("at_rest", members, fleet);
-  fleet.SetLoss([](std::size_t from, std::size_t to) {
-    return (from % 4 == 0) != (to % 4 == 0);
+  fleet.SetLoss([divisor = cut.divisor](std::size_t from, std::size_t to) {
+    return (from % divisor == 0) != (to % divisor == 0);
   });
-  MeasurePhase("zone_cut_off", members, fleet);
+  MeasurePhase(cut.phase, members, fleet);
 }
 
 }  // namespace
 }  // namespace dotterellug
 
-auto main() -> int {
+auto main(int argc, char** argv) -> int {
+  const bool region = argc > 1 && std::string(argv[1]) == "region";
+  const dotterellug::CutOff cut = region
+                                      ? dotterellug::CutOff{"region_cut_off", 3}
+                                      : dotterellug::CutOff{"zone_cut_off", 4};
   std::printf(
       "phase,members,messages_per_daemon_per_second,"
       "bytes_per_daemon_per_second,largest_message_bytes,"
       "processor_us_per_daemon_per_second\n");
   for (const std::size_t members : {8, 32, 128, 530}) {
-    dotterellug::Measure(members);
+    dotterellug::Measure(members, cut);
   }
   return 0;
 }
