--- a/daemon/tests/request_path_fixture.h
+++ b/daemon/tests/request_path_fixture.h
@@ -176,8 +176,9 @@
     call.url = path;
     call.body = body;
     call.repeatable = true;
-    if (!key.empty())
+    if (!key.empty()) {
       call.headers.push_back({"Authorization", "Bearer " + key});
+    }
     return Send(exchange, call);
   }
 
