Give plain services their warm concurrency and forward token requests to live holders

Change: an upstream that reports neither coldness nor completed responses counts as warm; the service stand-in reports them; service calls wait for a place until their deadline; the budget owner forwards only to live members.

--- a/daemon/control/budget_service.cc
+++ b/daemon/control/budget_service.cc
@@ -105,6 +105,8 @@
 
 auto BudgetService::SetLiveMembers(std::set<MemberId> live) -> void {
   const std::lock_guard lock(mutex_);
+  live.insert(self_);
+  shard_.SetLive(live);
   watch_.SetLive(std::move(live));
 }
 
--- a/daemon/control/fleet_view.cc
+++ b/daemon/control/fleet_view.cc
@@ -94,9 +94,10 @@
   const auto warm = configured->second.warm_concurrency;
   const auto& seen = found->second;
   if (seen.cold && !*seen.cold) return warm;
+  if (!seen.cold && !seen.completed && seen.up) return warm;
   auto allowance =
       std::max<std::int64_t>(1, configured->second.cold_concurrency);
-  auto completed = seen.completed;
+  auto completed = seen.completed.value_or(0);
   while (allowance < warm && completed >= allowance) {
     completed -= allowance;
     allowance *= 2;
--- a/daemon/control/fleet_view.h
+++ b/daemon/control/fleet_view.h
@@ -34,7 +34,8 @@
   auto SetDaemons(const InstanceId& self, std::set<InstanceId> daemons) -> bool;
   // Requests that an upstream bears from all daemons together now: its cold
   // concurrency at first, doubled each time as many responses are complete.
-  // Every daemon derives it from the upstream's own reports.
+  // Every daemon derives it from the upstream's own reports. An upstream that
+  // states neither that it is cold nor how much it completed counts as warm.
   auto Allowance(const UpstreamId& upstream) const -> std::int64_t;
   // This daemon's part; over all daemons with the same view the parts add up to
   // the allowance.
@@ -50,7 +51,7 @@
     Timestamp answered_at;
     Incarnation incarnation;
     std::optional<bool> cold;
-    std::int64_t completed = 0;
+    std::optional<std::int64_t> completed;
     std::vector<ModelId> models;
     std::vector<AdapterId> adapters;
   };
--- a/daemon/control/upstream_monitor.cc
+++ b/daemon/control/upstream_monitor.cc
@@ -29,7 +29,9 @@
   if (const auto cold = json.find("cold"); cold != json.end()) {
     observation.cold = cold->get<bool>();
   }
-  observation.completed = json.value("completed", std::int64_t{0});
+  if (const auto completed = json.find("completed"); completed != json.end()) {
+    observation.completed = completed->get<std::int64_t>();
+  }
   observation.load.measured_at = now - age;
   observation.sampled_at = observation.asked_at - age;
   observation.load.running_requests = json.value("running", std::int64_t{0});
--- a/daemon/control/upstream_monitor.h
+++ b/daemon/control/upstream_monitor.h
@@ -24,8 +24,8 @@
   Incarnation incarnation;
   // What the upstream says about itself, if it does.
   std::optional<bool> cold;
-  // Responses since its start.
-  std::int64_t completed = 0;
+  // Responses since its start, if it counts them.
+  std::optional<std::int64_t> completed;
   LoadReport load;
   std::vector<ModelId> models;
   std::vector<AdapterId> adapters;
--- a/daemon/tests/fleet_view_tests.cc
+++ b/daemon/tests/fleet_view_tests.cc
@@ -76,6 +76,16 @@
   EXPECT_EQ(allowance_after(Report(0, 2)), kCold);
 }
 
+// Guards against a plain service without such counts that stays cold for good.
+TEST(FleetViewTest, UpstreamThatReportsNoCountsIsWarm) {
+  FleetView fleet;
+  fleet.SetSnapshot(OneEngineSnapshot());
+  auto report = Report(0);
+  report.completed.reset();
+  fleet.Observe(report, Timestamp());
+  EXPECT_EQ(fleet.Allowance(UpstreamId("engine")), kWarm);
+}
+
 // Guards against new work for an upstream that has been silent or leaves.
 TEST(FleetViewTest, SilentAndLeavingUpstreamsGetNoWork) {
   FleetView fleet;
--- a/daemon/traffic/service_call.cc
+++ b/daemon/traffic/service_call.cc
@@ -1,12 +1,15 @@
 #include "daemon/traffic/service_call.h"
 
 #include <array>
+#include <thread>
 #include <utility>
 
 namespace dotterellug {
 namespace {
 
 constexpr int kMaxAttempts = 4;
+// How often a call without a place looks again.
+constexpr Duration kNoPlaceWait = std::chrono::milliseconds(5);
 // Responses of services are passed on whole, so that a cut one is never taken
 // for a complete one.
 constexpr std::size_t kMaxResponseBytes = 8UL << 20U;
@@ -81,6 +84,11 @@
 
 auto ServiceCall::Attempt() -> tl::expected<HttpResponse, RequestFailure> {
   auto dispatch = dispatcher_.Service(request_.pool, excluded_);
+  while (!dispatch && dispatch.error() == NoUpstreamReason::kNoAllowance &&
+         MonotonicNow() < context_.deadline && !caller_.IsClosed()) {
+    std::this_thread::sleep_for(kNoPlaceWait);
+    dispatch = dispatcher_.Service(request_.pool, excluded_);
+  }
   if (!dispatch) {
     return tl::unexpected(NoUpstreamFailure(
         dispatch.error(), "service pool " + request_.pool.Value()));
--- a/extras/standins/service/service_server.cc
+++ b/extras/standins/service/service_server.cc
@@ -40,8 +40,9 @@
   }
   if (request.path == "/ledger") return Ledger();
   if (request.path == "/report") {
-    return JsonResponse(200,
-                        {{"incarnation", 1}, {"running", running_.load()}});
+    return JsonResponse(200, {{"incarnation", 1},
+                              {"completed", completed_.load()},
+                              {"running", running_.load()}});
   }
   return Execute(request);
 }
@@ -67,6 +68,7 @@
     }
   }
   --running_;
+  ++completed_;
   if (const auto late = faults_.Take("late")) {
     std::this_thread::sleep_for(std::chrono::milliseconds(late->delay_ms));
   }
--- a/extras/standins/service/service_server.h
+++ b/extras/standins/service/service_server.h
@@ -49,6 +49,7 @@
   std::vector<LedgerEntry> ledger_;
   std::int64_t keys_seen_ = 0;
   std::atomic<std::int64_t> running_{0};
+  std::atomic<std::int64_t> completed_{0};
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/modules/budget/owner/share_table.cc
+++ b/modules/budget/owner/share_table.cc
@@ -95,12 +95,15 @@
   return pool_.Give(amount, now);
 }
 
-auto ShareTable::LeastNeedy() const -> std::optional<MemberId> {
+auto ShareTable::LeastNeedy(
+    const std::function<bool(const MemberId&)>& may_give) const
+    -> std::optional<MemberId> {
   double total_demand = 0;
   for (const auto& [member, holder] : holders_) total_demand += holder.demand;
   std::optional<MemberId> best;
   double best_surplus = 0;
   for (const auto& [member, holder] : holders_) {
+    if (!may_give(member)) continue;
     const auto needed = total_demand > 0 ? holder.demand / total_demand : 0;
     const auto surplus = static_cast<double>(holder.held.Value()) -
                          needed * static_cast<double>(kWhole.Value());
--- a/modules/budget/owner/share_table.h
+++ b/modules/budget/owner/share_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -60,7 +61,9 @@
   auto Give(Tokens amount, Timestamp now) -> Tokens;
   // The holder whose share exceeds its part of the demand most, to which a
   // request for tokens can be forwarded.
-  auto LeastNeedy() const -> std::optional<MemberId>;
+  // Only holders for which `may_give` is true are considered.
+  auto LeastNeedy(const std::function<bool(const MemberId&)>& may_give) const
+      -> std::optional<MemberId>;
   // Changes to send now: unanswered ones again, then new ones by demand.
   auto Rebalance(const RebalancePolicy& policy, Timestamp now)
       -> std::vector<PlannedChange>;
--- a/modules/budget/shard/budget_shard.cc
+++ b/modules/budget/shard/budget_shard.cc
@@ -155,10 +155,13 @@
       return {SendBudgetMessage{request.id.requester, from_pool}};
     }
     const auto* table = owner_->Table(request.budget);
-    const auto giver = table == nullptr ? std::nullopt : table->LeastNeedy();
-    if (giver && *giver != self_ && *giver != request.id.requester) {
-      return {SendBudgetMessage{*giver, request}};
-    }
+    const auto may_give = [&](const MemberId& member) {
+      const bool answers = !live_ || live_->count(member) > 0;
+      return answers && member != self_ && member != request.id.requester;
+    };
+    const auto giver =
+        table == nullptr ? std::nullopt : table->LeastNeedy(may_give);
+    if (giver) return {SendBudgetMessage{*giver, request}};
   }
   return {SendBudgetMessage{request.id.requester,
                             holder_.OnTransferRequest(request, now)}};
--- a/modules/budget/shard/budget_shard.h
+++ b/modules/budget/shard/budget_shard.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <optional>
+#include <set>
+#include <utility>
 
 #include "budget/holder/budget_holder.h"
 #include "budget/messages/budget_messages.h"
@@ -27,6 +29,10 @@
   auto OnGone(const MemberId& member, Timestamp now) -> BudgetActions;
   auto SetLimits(const BudgetLimits& limits, Timestamp now) -> void;
 
+  // The members that are expected to answer. Requests for tokens are not
+  // forwarded to others, since a holder that does not answer gives nothing.
+  auto SetLive(std::set<MemberId> live) -> void { live_ = std::move(live); }
+
   // Asks the owner for tokens; empty while no owner is known.
   auto RequestTokens(const BudgetId& budget, Tokens amount, Timestamp now)
       -> BudgetActions;
@@ -54,6 +60,8 @@
   BudgetHolder holder_;
   std::optional<BudgetOwner> owner_;
   std::optional<MemberId> known_owner_;
+  // Unset until SetLive.
+  std::optional<std::set<MemberId>> live_;
   BudgetLimits limits_;
 };
 
--- a/modules/budget/tests/budget_tests.cc
+++ b/modules/budget/tests/budget_tests.cc
@@ -125,6 +125,22 @@
   EXPECT_EQ(limit.Permits(), 5);
 }
 
+// Guards against requests for tokens that are forwarded to a paused holder, as
+// seen in a trial: 11 requests within rate were refused while a daemon that
+// held most of an account's share was paused.
+TEST(ShareTableTest, ForwardsTransfersOnlyToHoldersThatAnswer) {
+  const MemberId paused{InstanceId("paused"), Incarnation(1)};
+  const MemberId live{InstanceId("live"), Incarnation(1)};
+  ShareTable table(kRate, Timestamp{});
+  table.AddHolder(paused, PartsPerMillion(700'000), Timestamp{});
+  table.AddHolder(live, PartsPerMillion(300'000), Timestamp{});
+  const auto all = [](const MemberId&) { return true; };
+  EXPECT_EQ(table.LeastNeedy(all), paused);
+  EXPECT_EQ(table.LeastNeedy(
+                [&](const MemberId& member) { return member != paused; }),
+            live);
+}
+
 // Guards against a dead member's share that is reclaimed twice: the former
 // owner reclaims it and gives it to `a`, which then reports more than was left,
 // and the new owner reclaims what the dead member had reported to it.
