Encode the query again when it is passed to a service

Cause: the server library decodes query parameters, and the daemon joined them again without encoding separators, so a caller's %26 became a second parameter at the service. Conclusion: what reaches the service is what the caller encoded.

--- a/daemon/tests/request_path_tests.cc
+++ b/daemon/tests/request_path_tests.cc
@@ -125,6 +125,22 @@
   }
 }
 
+// Guards against a caller that inserts parameters, line ends or another path
+// into the request to the service by percent-encoding them.
+TEST_F(RequestPathTest, PathAndQueryReachTheServiceEncoded) {
+  const auto answer =
+      Post("/services/orders/a%0d%0ab?q=x%26admin%3D1&r=%0a", "", key_, "GET");
+  ASSERT_EQ(answer.status, 200) << answer.body;
+  std::string path;
+  for (const auto& service : services_) {
+    const auto ledger = Ledger(service->Port());
+    for (const auto& call : ledger["calls"]) {
+      path = call["path"];
+    }
+  }
+  EXPECT_EQ(path, "/a\r\nb?q=x%26admin%3D1&r=%0A");
+}
+
 // Guards against requests that run without a key or for another account.
 TEST_F(RequestPathTest, RefusesMissingAndWrongKeysBeforeRunning) {
   auto wrong = key_;
--- a/daemon/traffic/request_handler.cc
+++ b/daemon/traffic/request_handler.cc
@@ -14,6 +14,8 @@
 
 constexpr std::string_view kServicePrefix = "/services/";
 constexpr std::string_view kBearer = "Bearer ";
+// Besides letters and digits, what RFC 3986 allows in a path.
+constexpr std::string_view kPathCharacters = "/:@!$&'()*+,;=";
 constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
 constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
 
@@ -44,27 +46,6 @@
   return {path.substr(begin, end - begin), path.substr(end)};
 }
 
-// A path that the server library has decoded must be encoded again, or a
-// caller could insert line ends into the request to the service.
-auto EncodePath(std::string_view path) -> std::string {
-  constexpr std::string_view kDigits = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char c : path) {
-    const auto byte = static_cast<unsigned char>(c);
-    const bool plain = std::isalnum(byte) != 0 ||
-                       std::string_view("/-._~:@!$&'()*+,;=").find(c) !=
-                           std::string_view::npos;
-    if (plain) {
-      encoded += c;
-      continue;
-    }
-    encoded += '%';
-    encoded += kDigits[byte >> 4U];
-    encoded += kDigits[byte & 15U];
-  }
-  return encoded;
-}
-
 auto ClaimFailure(ErrorKind kind, std::string message, std::string remedy,
                   Ran ran) -> tl::unexpected<RequestFailure> {
   RequestFailure failure;
@@ -133,12 +114,6 @@
                       "repeat it with the same Idempotency-Key", Ran::kUnknown);
 }
 
-auto EncodeQuery(const std::string& query) -> std::string {
-  std::string encoded = EncodePath(query.substr(query.empty() ? 0 : 1));
-  // The separator survives as it stands; everything else was encoded.
-  return query.empty() ? "" : "?" + encoded;
-}
-
 }  // namespace
 
 RequestHandler::RequestHandler(SharedState& state, ChargeBudget charge_budget)
@@ -346,7 +321,7 @@
   ServiceRequest call;
   call.pool = route->second.pool;
   call.method = request.method;
-  call.url = EncodePath(path.rest) + EncodeQuery(request.query);
+  call.url = PercentEncode(path.rest, kPathCharacters) + request.query;
   call.body = request.body;
   for (const auto* name : kForwardedHeaders) {
     if (const auto value = request.Header(name)) {
--- a/extras/experiment/load_run.cc
+++ b/extras/experiment/load_run.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -102,22 +104,31 @@
   if (stream && !end_seen && result.error.empty()) result.error = "truncated";
 }
 
+// Connections that one sending thread keeps, as callers with a connection pool
+// do.
+using Connections = std::map<UpstreamTarget, std::unique_ptr<UpstreamExchange>>;
+
 auto Perform(const TrafficClass& traffic, const PlannedRequest& request,
-             const UpstreamTarget& target, Timestamp start) -> CallResult {
+             const UpstreamTarget& target, Timestamp start,
+             Connections& connections) -> CallResult {
   CallResult result;
   result.traffic_class = request.traffic_class;
   result.at = request.at;
   const auto intended = start + request.at;
-  UpstreamExchange exchange(target);
+  auto& connection = connections[target];
+  if (!connection) connection = std::make_unique<UpstreamExchange>(target);
   auto call = BuildCall(traffic, request);
   call.target = target;
-  const auto head = exchange.Begin(call, kCallTimeout);
+  // A POST must not be sent again by the library on a closed connection.
+  call.repeatable = call.method != "POST" || traffic.kind == CallKind::kChat;
+  const auto head = connection->Begin(call, kCallTimeout);
   if (head) {
     result.status = head->status;
-    ReadResponse(exchange, *head, intended, result);
+    ReadResponse(*connection, *head, intended, result);
   } else {
     result.error = "connection";
   }
+  if (!connection->Reusable()) connection.reset();
   result.total = MonotonicNow() - intended;
   return result;
 }
@@ -134,6 +145,7 @@
   std::vector<std::thread> threads;
   for (std::size_t i = 0; i < options.threads; ++i) {
     threads.emplace_back([&] {
+      Connections connections;
       while (true) {
         const auto index = next++;
         if (index >= requests.size()) return;
@@ -141,7 +153,7 @@
         std::this_thread::sleep_until(start + request.at);
         const auto& target = options.targets[index % options.targets.size()];
         results[index] = Perform(workload.classes[request.traffic_class],
-                                 request, target, start);
+                                 request, target, start, connections);
         ++done;
       }
     });
--- a/extras/experiment/report.cc
+++ b/extras/experiment/report.cc
@@ -53,6 +53,7 @@
   for (auto& [name, summary] : summaries) {
     summary.first_token_median_ms = Quantile(first_tokens[name], 0.5);
     summary.first_token_p95_ms = Quantile(first_tokens[name], 0.95);
+    summary.first_token_p99_ms = Quantile(first_tokens[name], 0.99);
     sorted.push_back(summary);
   }
   return sorted;
@@ -63,12 +64,13 @@
   std::ostringstream out;
   out << "| " << title
       << " | requests | complete | attained | refused | refused within rate | "
-         "failed | first token p50 ms | p95 ms | tokens |\n"
-      << "|---|---|---|---|---|---|---|---|---|---|\n";
+         "failed | first token p50 ms | p95 ms | p99 ms | tokens |\n"
+      << "|---|---|---|---|---|---|---|---|---|---|---|\n";
   for (const auto& row : rows) {
     char figures[64];
-    std::snprintf(figures, sizeof figures, "%.1f | %.1f",
-                  row.first_token_median_ms, row.first_token_p95_ms);
+    std::snprintf(figures, sizeof figures, "%.2f | %.2f | %.2f",
+                  row.first_token_median_ms, row.first_token_p95_ms,
+                  row.first_token_p99_ms);
     out << "| " << row.name << " | " << row.requests << " | " << row.complete
         << " | " << row.attained << " | " << row.refused << " | "
         << row.refused_within_rate << " | " << row.failed << " | " << figures
--- a/extras/experiment/report.h
+++ b/extras/experiment/report.h
@@ -21,6 +21,7 @@
   std::size_t attained = 0;
   double first_token_median_ms = 0;
   double first_token_p95_ms = 0;
+  double first_token_p99_ms = 0;
   std::int64_t tokens = 0;
 
   auto Attainment() const -> double;
--- a/extras/standins/service/service_server.cc
+++ b/extras/standins/service/service_server.cc
@@ -61,7 +61,8 @@
   std::size_t position = 0;
   {
     const std::lock_guard lock(mutex_);
-    ledger_.push_back({id, request.method, request.path, request.body});
+    ledger_.push_back(
+        {id, request.method, request.path + request.query, request.body});
     position = ledger_.size();
     for (const auto& header : request.headers) {
       if (header.value.find("dk_") != std::string::npos) ++keys_seen_;
--- a/modules/frontend/http/http_message.h
+++ b/modules/frontend/http/http_message.h
@@ -21,7 +21,8 @@
   std::string method;
   // Path without the query, percent-decoded by the server library.
   std::string path;
-  // Query with the leading question mark, or empty.
+  // Query with the leading question mark, or empty; percent-encoded again after
+  // the server library decoded it.
   std::string query;
   std::vector<HttpHeader> headers;
   std::string body;
--- a/modules/frontend/http/http_server.cc
+++ b/modules/frontend/http/http_server.cc
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "core/variant/overloaded.h"
+#include "frontend/http/percent_encoding.h"
 
 namespace dotterellug {
 namespace {
@@ -44,8 +45,8 @@
                   const char* value) -> MHD_Result {
   auto* query = static_cast<std::string*>(target);
   *query += query->empty() ? '?' : '&';
-  *query += name;
-  if (value != nullptr) *query += std::string("=") + value;
+  *query += PercentEncode(name);
+  if (value != nullptr) *query += "=" + PercentEncode(value);
   return MHD_YES;
 }
 
