--- a/daemon/control/command_sender.cc
+++ b/daemon/control/command_sender.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/core.h"
+
 namespace dotterellug {
 namespace {
 
@@ -34,8 +36,8 @@
 
 CommandSender::CommandSender(Authorize authorize, Answered answered)
     : authorize_(std::move(authorize)), answered_(std::move(answered)) {
-  for (std::size_t i = 0; i < kThreads; ++i) {
-    threads_.emplace_back([this] { Run(); });
+  for (auto& lane : lanes_) {
+    threads_.emplace_back([this, &lane] { Run(&lane); });
   }
 }
 
@@ -44,25 +46,27 @@
     const std::lock_guard lock(mutex_);
     stopping_ = true;
   }
-  queued_.notify_all();
+  for (auto& lane : lanes_) lane.queued.notify_all();
   for (auto& thread : threads_) thread.join();
 }
 
 auto CommandSender::Send(AddressedCommand command) -> void {
+  auto& lane = lanes_[Hash64(command.command.engine.Value()) % kThreads];
   {
     const std::lock_guard lock(mutex_);
-    queue_.push_back(std::move(command));
+    lane.queue.push_back(std::move(command));
   }
-  queued_.notify_one();
+  lane.queued.notify_one();
 }
 
-auto CommandSender::Run() -> void {
+auto CommandSender::Run(Lane* lane) -> void {
   std::unique_lock lock(mutex_);
   while (true) {
-    queued_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+    lane->queued.wait(
+        lock, [this, lane] { return stopping_ || !lane->queue.empty(); });
     if (stopping_) return;
-    const auto command = std::move(queue_.front());
-    queue_.pop_front();
+    const auto command = std::move(lane->queue.front());
+    lane->queue.pop_front();
     lock.unlock();
     Perform(command);
     lock.lock();
--- a/daemon/control/command_sender.h
+++ b/daemon/control/command_sender.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -37,14 +38,20 @@
  private:
   static constexpr std::size_t kThreads = 4;
 
-  auto Run() -> void;
+  // Commands to one engine stay in order: an engine that checks fencing
+  // rejects one that a later one overtook.
+  struct Lane {
+    std::condition_variable queued;
+    std::deque<AddressedCommand> queue;
+  };
+
+  auto Run(Lane* lane) -> void;
   auto Perform(const AddressedCommand& command) -> void;
 
   Authorize authorize_;
   Answered answered_;
   std::mutex mutex_;
-  std::condition_variable queued_;
-  std::deque<AddressedCommand> queue_;
+  std::array<Lane, kThreads> lanes_;
   bool stopping_ = false;
   std::vector<std::thread> threads_;
 };
--- a/extras/experiment/load_run.cc
+++ b/extras/experiment/load_run.cc
@@ -114,6 +114,9 @@
   CallResult result;
   result.traffic_class = request.traffic_class;
   result.at = request.at;
+  if (traffic.kind == CallKind::kChat) {
+    result.prompt_tokens = request.prompt_tokens;
+  }
   const auto intended = start + request.at;
   auto& connection = connections[target];
   if (!connection) connection = std::make_unique<UpstreamExchange>(target);
--- a/extras/experiment/load_run.h
+++ b/extras/experiment/load_run.h
@@ -22,7 +22,9 @@
   std::string error;
   Duration first_token{0};
   Duration total{0};
+  // Generated tokens received, and tokens of the prompt that was sent.
   std::int64_t tokens = 0;
+  std::int64_t prompt_tokens = 0;
 };
 
 struct LoadOptions {
--- a/extras/experiment/report.cc
+++ b/extras/experiment/report.cc
@@ -33,8 +33,8 @@
     auto& summary = summaries[name];
     summary.name = name;
     ++summary.requests;
-    summary.tokens += result.tokens;
     if (result.complete) {
+      summary.tokens += result.tokens + result.prompt_tokens;
       ++summary.complete;
       first_tokens[name].push_back(Milliseconds(result.first_token));
       if (ToSeconds(result.first_token) <= workload.first_token_seconds) {
@@ -64,7 +64,7 @@
   std::ostringstream out;
   out << "| " << title
       << " | requests | complete | attained | refused | refused within rate | "
-         "failed | first token p50 ms | p95 ms | p99 ms | tokens |\n"
+         "failed | first token p50 ms | p95 ms | p99 ms | tokens served |\n"
       << "|---|---|---|---|---|---|---|---|---|---|---|\n";
   for (const auto& row : rows) {
     char figures[64];
--- a/extras/experiment/report.h
+++ b/extras/experiment/report.h
@@ -22,6 +22,8 @@
   double first_token_median_ms = 0;
   double first_token_p95_ms = 0;
   double first_token_p99_ms = 0;
+  // Prompt and generated tokens of complete requests, which is what the account
+  // was served and may not exceed its burst + rate * time.
   std::int64_t tokens = 0;
 
   auto Attainment() const -> double;
