--- a/daemon/control/placement_service.cc
+++ b/daemon/control/placement_service.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kStep = std::chrono::milliseconds(300);
+// A plan takes 0.5 s at 5,200 engines; command steps are much cheaper.
+constexpr Duration kPlanInterval = std::chrono::seconds(1);
 // An engine without a report for this long counts as not usable.
 constexpr Duration kReportLimit = std::chrono::seconds(3);
 // Tokens per second that keep one engine fully busy, until engines report
@@ -190,6 +192,8 @@
       return;
     }
   }
+  if (now - planned_at_ < kPlanInterval) return;
+  planned_at_ = now;
   auto result = planner_->Plan(now, PlanInputOf(document, now));
   for (auto& [engine, target] : result.changed) {
     log_->SetTarget(engine, std::move(target));
--- a/daemon/control/placement_service.h
+++ b/daemon/control/placement_service.h
@@ -65,6 +65,7 @@
   std::unique_ptr<CommandLog> log_;
   std::unique_ptr<Planner> planner_;
   Term planned_term_;
+  Timestamp planned_at_;
   std::atomic<bool> is_owner_{false};
   std::atomic<bool> stopping_{false};
   std::unique_ptr<CommandSender> sender_;
--- a/daemon/control/store_reader.cc
+++ b/daemon/control/store_reader.cc
@@ -12,16 +12,6 @@
 
 }  // namespace
 
-auto ParseSectionTexts(const SectionTexts& texts)
-    -> tl::expected<ServingDocument, FaultList> {
-  DocumentTexts sections;
-  for (const auto section : kAllSections) {
-    const auto found = texts.find(SectionName(std::string(NameOf(section))));
-    if (found != texts.end()) sections.Set(section, found->second);
-  }
-  return ParseDocument(sections);
-}
-
 StoreReader::StoreReader(const std::function<auto()->ObjectStore>& open,
                          Send send)
     : watch_(open()), repository_(open()), send_(std::move(send)) {
@@ -36,12 +26,19 @@
 auto StoreReader::Fetch(const RevisionRef& ref) -> bool {
   const auto loaded = repository_.Load(ref);
   if (!loaded) return false;
-  auto document = ParseSectionTexts(loaded->texts);
-  if (document) {
-    send_(RevisionFetched{ref, std::move(*document)});
-  } else {
+  const auto texts = ToDocumentTexts(loaded->texts);
+  if (!texts) {
+    send_(RevisionRejected{ref, texts.error().Text()});
+    return true;
+  }
+  auto document =
+      parsed_ ? ParseChanges(*parsed_, *texts) : ParseDocument(*texts);
+  if (!document) {
     send_(RevisionRejected{ref, document.error().Text()});
+    return true;
   }
+  parsed_ = ParsedDocument{*texts, *document};
+  send_(RevisionFetched{ref, std::move(*document)});
   return true;
 }
 
--- a/daemon/control/store_reader.h
+++ b/daemon/control/store_reader.h
@@ -29,12 +29,10 @@
   RevisionRepository repository_;
   Send send_;
   std::optional<RevisionRef> wanted_;
+  // The last document, so that only changed sections are parsed again.
+  std::optional<ParsedDocument> parsed_;
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
 
-// Parses the sections of a revision into a document.
-auto ParseSectionTexts(const SectionTexts& texts)
-    -> tl::expected<ServingDocument, FaultList>;
-
 }  // namespace dotterellug
