Split the handling of a completion request by job

Cause: HandleCompletion resolved the model, built a refusal and ran the call in one function of 70 lines. Change: FindTarget and BudgetFailure are functions of their own; behaviour is the same. Figures: daemon_tests, 36 of 36 pass before and after. Conclusion: none beyond readability.

--- a/daemon/traffic/request_handler.cc
+++ b/daemon/traffic/request_handler.cc
@@ -33,6 +33,40 @@
   return tl::unexpected(std::move(failure));
 }
 
+// What a caller's model name stands for.
+struct CompletionTarget {
+  ModelId model;
+  // Empty when the name is that of a model.
+  AdapterId adapter;
+  std::int64_t context_tokens = 0;
+};
+
+auto FindTarget(const ServingDocument& document, const std::string& name)
+    -> std::optional<CompletionTarget> {
+  CompletionTarget target{ModelId(name), {}, 0};
+  const auto adapter = document.adapters.find(AdapterId(name));
+  if (adapter != document.adapters.end()) {
+    target.adapter = adapter->first;
+    target.model = adapter->second.base;
+  }
+  const auto model = document.models.find(target.model);
+  if (model == document.models.end()) return std::nullopt;
+  target.context_tokens = model->second.context_tokens;
+  return target;
+}
+
+auto BudgetFailure(const ClientAccountId& account, Duration retry_after)
+    -> RequestFailure {
+  RequestFailure failure;
+  failure.reason = "budget";
+  failure.retry_after = retry_after;
+  failure.error = {ErrorKind::kExhausted,
+                   "client account '" + account.Value() +
+                       "' has used up its token rate and burst",
+                   "retry after the time in Retry-After"};
+  return failure;
+}
+
 // "/services/NAME/rest" split into NAME and "/rest".
 struct ServicePath {
   std::string name;
@@ -245,44 +279,27 @@
     return FailureOf(parsed.error().kind, parsed.error().message,
                      parsed.error().remedy, "bad_request");
   }
-  const auto& document = snapshot.document;
-  ModelId model_id(parsed->model);
-  AdapterId adapter_id;
-  const auto adapter = document.adapters.find(AdapterId(parsed->model));
-  if (adapter != document.adapters.end()) {
-    adapter_id = adapter->first;
-    model_id = adapter->second.base;
-  }
-  const auto model = document.models.find(model_id);
-  if (model == document.models.end()) {
+  const auto target = FindTarget(snapshot.document, parsed->model);
+  if (!target) {
     return FailureOf(
         ErrorKind::kNotFound, "there is no model '" + parsed->model + "'",
         "name one of the models of GET /v1/models", "unknown_model");
   }
-  const auto prompt_tokens = EstimateTokens(parsed->prompt);
-  if (prompt_tokens + parsed->max_tokens > model->second.context_tokens) {
+  const auto cost = Tokens(EstimateTokens(parsed->prompt) + parsed->max_tokens);
+  if (cost.Value() > target->context_tokens) {
     return FailureOf(
         ErrorKind::kInvalidArgument,
-        "prompt and max_tokens need about " +
-            std::to_string(prompt_tokens + parsed->max_tokens) +
-            " tokens; the context of model '" + model_id.Value() + "' has " +
-            std::to_string(model->second.context_tokens),
+        "prompt and max_tokens need about " + std::to_string(cost.Value()) +
+            " tokens; the context of model '" + target->model.Value() +
+            "' has " + std::to_string(target->context_tokens),
         "shorten the prompt or lower max_tokens", "context_exceeded");
   }
   Duration retry_after{0};
-  const auto cost = Tokens(prompt_tokens + parsed->max_tokens);
   auto charge = charge_budget_(context.account, cost, retry_after);
   if (!charge) {
     state_.metrics.CountRequest(context.account.Value(),
                                 ClassName(context.priority), "refused");
-    RequestFailure failure;
-    failure.reason = "budget";
-    failure.retry_after = retry_after;
-    failure.error = {ErrorKind::kExhausted,
-                     "client account '" + context.account.Value() +
-                         "' has used up its token rate and burst",
-                     "retry after the time in Retry-After"};
-    return tl::unexpected(std::move(failure));
+    return tl::unexpected(BudgetFailure(context.account, retry_after));
   }
   auto done = [this, charge = *charge, context](const CompletionEnd& end) {
     charge.settle(end.tokens);
@@ -292,7 +309,7 @@
   const auto call =
       std::make_shared<CompletionCall>(state_, context, std::move(*parsed),
                                        request.body, caller, std::move(done));
-  call->SetTarget(model_id, adapter_id);
+  call->SetTarget(target->model, target->adapter);
   return call->Run();
 }
 
