Share the failures of attempts and the reads of shards

Cause: completion and service calls each built the failure of an exchange and counted crossed responses and silent connections; budget and claim services each turned a missing object into one of version 0. Change: ExchangeFailure and NotTakenFailure in attempt_policy, ReadOrAbsent beside WriteOutcomeOf. Behaviour is the same. Conclusion: the two call paths cannot drift apart in what they report.

--- a/daemon/control/budget_service.cc
+++ b/daemon/control/budget_service.cc
@@ -179,10 +179,7 @@
 }
 
 auto BudgetService::Read(const std::string& name) -> void {
-  auto object = store_->Get(name);
-  if (!object && object.error().kind == ErrorKind::kNotFound) {
-    object = ObjectRecord{name, kAbsent, ""};
-  }
+  const auto object = ReadOrAbsent(*store_, name);
   if (!object) {
     metrics_.Count(Event::kStoreError);
     return;
--- a/daemon/control/claim_service.cc
+++ b/daemon/control/claim_service.cc
@@ -197,10 +197,7 @@
 }
 
 auto ClaimService::Read(std::size_t part, const std::string& name) -> void {
-  auto object = store_->Get(name);
-  if (!object && object.error().kind == ErrorKind::kNotFound) {
-    object = ObjectRecord{name, kAbsent, ""};
-  }
+  const auto object = ReadOrAbsent(*store_, name);
   if (!object) {
     metrics_.Count(Event::kStoreError);
     return;
--- a/daemon/control/take_over_watch.cc
+++ b/daemon/control/take_over_watch.cc
@@ -42,6 +42,15 @@
   return false;
 }
 
+auto ReadOrAbsent(ObjectStore& store, const std::string& name)
+    -> Result<ObjectRecord> {
+  auto object = store.Get(name);
+  if (!object && object.error().kind == ErrorKind::kNotFound) {
+    return ObjectRecord{name, kAbsent, ""};
+  }
+  return object;
+}
+
 auto WriteOutcomeOf(const Result<ObjectVersion>& written) -> WriteOutcome {
   if (written) return WriteOutcome::kDone;
   if (written.error().kind == ErrorKind::kConflict) {
--- a/daemon/control/take_over_watch.h
+++ b/daemon/control/take_over_watch.h
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <string>
 #include <variant>
 #include <vector>
 
 #include "core/core.h"
 #include "ownership/ownership.h"
+#include "store/store.h"
 
 namespace dotterellug {
 
@@ -51,6 +53,11 @@
       actions->end());
 }
 
+// The object, or one of version kAbsent when it does not exist, which is an
+// answer for an ownership module.
+auto ReadOrAbsent(ObjectStore& store, const std::string& name)
+    -> Result<ObjectRecord>;
+
 // The outcome of a conditional write for an ownership module.
 auto WriteOutcomeOf(const Result<ObjectVersion>& written) -> WriteOutcome;
 
--- a/daemon/traffic/attempt_policy.cc
+++ b/daemon/traffic/attempt_policy.cc
@@ -28,6 +28,30 @@
   return head.Header("X-Ran") == "no";
 }
 
+auto ExchangeFailure(SharedState& state, const Error& error, Delivery delivery)
+    -> RequestFailure {
+  RequestFailure failure;
+  failure.error = error;
+  failure.ran = RanAfter(delivery);
+  if (failure.ran == Ran::kNo) failure.reason = "upstream_unreachable";
+  if (error.kind == ErrorKind::kProtocol) {
+    state.metrics.Count(Event::kCrossedResponse);
+  }
+  if (error.kind == ErrorKind::kDeadlineExceeded) {
+    state.metrics.Count(Event::kSilentConnection);
+  }
+  return failure;
+}
+
+auto NotTakenFailure(const UpstreamId& upstream) -> RequestFailure {
+  RequestFailure failure;
+  failure.error = {ErrorKind::kUnavailable,
+                   "upstream " + upstream.Value() + " did not take the request",
+                   "retry after the time in Retry-After"};
+  failure.reason = "upstream_refused";
+  return failure;
+}
+
 auto WaitForRetry(SharedState& state, const RequestContext& context,
                   int retries, const CallerConnection& caller) -> bool {
   RetryDecision decision;
--- a/daemon/traffic/attempt_policy.h
+++ b/daemon/traffic/attempt_policy.h
@@ -25,6 +25,14 @@
 // Whether the upstream stated that it did not execute the request.
 auto StatedNotRun(const UpstreamHead& head) -> bool;
 
+// The failure of an attempt whose exchange gave no response; counts crossed
+// responses and silent connections.
+auto ExchangeFailure(SharedState& state, const Error& error, Delivery delivery)
+    -> RequestFailure;
+
+// The failure of an attempt that the upstream stated not to have executed.
+auto NotTakenFailure(const UpstreamId& upstream) -> RequestFailure;
+
 // Waits for the backoff of the next attempt and takes it from the retry
 // budget. Returns false when the request must not be tried again.
 auto WaitForRetry(SharedState& state, const RequestContext& context,
--- a/daemon/traffic/completion_call.cc
+++ b/daemon/traffic/completion_call.cc
@@ -153,24 +153,9 @@
   auto head = exchange_->Begin(BuildCall(*dispatch_), limit,
                                [this] { return IsCancelled(); });
   if (head && !StatedNotRun(*head)) return std::move(*head);
-  RequestFailure failure;
-  if (head) {
-    failure.error = {
-        ErrorKind::kUnavailable,
-        "upstream " + dispatch_->upstream.Value() + " did not take the request",
-        "retry after the time in Retry-After"};
-    failure.reason = "upstream_refused";
-  } else {
-    failure.error = head.error();
-    failure.ran = RanAfter(exchange_->State());
-    failure.reason = failure.ran == Ran::kNo ? "upstream_unreachable" : "";
-    if (head.error().kind == ErrorKind::kProtocol) {
-      state_.metrics.Count(Event::kCrossedResponse);
-    }
-    if (head.error().kind == ErrorKind::kDeadlineExceeded) {
-      state_.metrics.Count(Event::kSilentConnection);
-    }
-  }
+  auto failure =
+      head ? NotTakenFailure(dispatch_->upstream)
+           : ExchangeFailure(state_, head.error(), exchange_->State());
   routing_.excluded.push_back(dispatch_->upstream);
   EndAttempt();
   return tl::unexpected(std::move(failure));
--- a/daemon/traffic/service_call.cc
+++ b/daemon/traffic/service_call.cc
@@ -108,26 +108,11 @@
                           : CancelCheck();
   auto head = exchange->Begin(BuildCall(dispatch->target), limit, cancelled);
   if (!head) {
-    RequestFailure failure;
-    failure.error = head.error();
-    failure.ran = RanAfter(exchange->State());
-    if (failure.ran == Ran::kNo) failure.reason = "upstream_unreachable";
-    if (head.error().kind == ErrorKind::kProtocol) {
-      state_.metrics.Count(Event::kCrossedResponse);
-    }
-    if (head.error().kind == ErrorKind::kDeadlineExceeded) {
-      state_.metrics.Count(Event::kSilentConnection);
-    }
-    return tl::unexpected(std::move(failure));
+    return tl::unexpected(
+        ExchangeFailure(state_, head.error(), exchange->State()));
   }
   if (StatedNotRun(*head)) {
-    RequestFailure failure;
-    failure.error = {
-        ErrorKind::kUnavailable,
-        "upstream " + dispatch->upstream.Value() + " did not take the request",
-        "retry after the time in Retry-After"};
-    failure.reason = "upstream_refused";
-    return tl::unexpected(std::move(failure));
+    return tl::unexpected(NotTakenFailure(dispatch->upstream));
   }
   auto response = ReadWhole(*exchange, *head);
   state_.exchanges.Return(std::move(exchange), MonotonicNow());
