--- /dev/null
+++ b/daemon/gateway/control_link.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "serving/serving.h"
+
+namespace dotterellug::gateway {
+
+// A daemon that registered itself in the platform's store.
+struct Member {
+  InstanceId id;
+  // UDP address for messages between daemons.
+  SocketAddress peers;
+  // Revision of the registration, for removing it.
+  std::int64_t revision = 0;
+};
+
+// What the platform tells the gateway. Calls come on the event loop.
+struct ControlEvents {
+  std::function<void(std::shared_ptr<const serving::ServingCatalog>)>
+      on_catalog;
+  std::function<void(const serving::UpstreamRecord&)> on_upstream;
+  std::function<void(const UpstreamId&)> on_upstream_gone;
+  // All upstreams that are registered now; others are gone.
+  std::function<void(const std::set<UpstreamId>&)> on_upstreams_listed;
+  std::function<void(std::set<AvailabilityZoneId>)> on_zones_out;
+  std::function<void(std::vector<Member>)> on_members;
+  std::function<void(bool answered)> on_store_contact;
+  // Something from the platform could not be used; for the log.
+  std::function<void(const Error&)> on_bad_entry;
+};
+
+// The record that says which daemon may order loads.
+struct LeaseRecord {
+  InstanceId holder;
+  std::int64_t fence = 0;
+  // Set by a holder that ended in order.
+  bool released = false;
+  std::int64_t revision = 0;
+};
+
+// An order to an engine to load or unload a model or one of its adapters.
+struct EngineOrder {
+  UpstreamId upstream;
+  SocketAddress address;
+  bool load = true;
+  ModelId model;
+  // Empty for the model itself.
+  AdapterId adapter;
+  InstanceId holder;
+  std::int64_t fence = 0;
+  // The order is refused unless the engine has accepted so many orders before.
+  std::int64_t expected_sequence = 0;
+};
+
+enum class OrderOutcome {
+  kAccepted,
+  kAlreadyHolds,
+  kRefused,        // busy, or the sequence differs
+  kFenced,         // another holder has a higher fencing number
+  kInvalid,        // the engine does not know the order
+  kWrongUpstream,  // another upstream has the address
+  kUnknown,        // no answer; may be carried out later
+};
+
+// What an engine reports about itself.
+struct EngineState {
+  bool busy = false;
+  std::int64_t sequence = 0;
+  std::vector<serving::HeldModel> models;
+};
+
+// What the gateway asks of the platform. Replies come on the event loop.
+struct ControlLink {
+  std::function<void()> start;
+  std::function<void(const Member&)> register_member;
+  std::function<void(const Member&)> remove_member;
+  // nullopt means that there is none.
+  std::function<void(std::function<void(Result<std::optional<LeaseRecord>>)>)>
+      read_lease;
+  // Writes if the revision is still `record.revision`; 0 creates. The reply has
+  // the new revision.
+  std::function<void(const LeaseRecord&,
+                     std::function<void(Result<std::int64_t>)>)>
+      write_lease;
+  std::function<void(const EngineOrder&, std::function<void(OrderOutcome)>)>
+      send_order;
+  std::function<void(const UpstreamId&, const SocketAddress&,
+                     std::function<void(Result<EngineState>)>)>
+      read_engine;
+};
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/dialect.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "core/core.h"
+#include "eventhttp/eventhttp.h"
+#include "serving/serving.h"
+
+namespace dotterellug::gateway {
+
+// What the gateway adds to a request for one attempt at an upstream.
+struct AttemptFields {
+  UpstreamId upstream;
+  // Empty on an open route without a key.
+  ClientAccountId account;
+  // Time left for the answer.
+  Duration time_left{0};
+  // 0 is the most urgent, 9 the least.
+  int priority = 5;
+  // Continue the stream after this event.
+  std::optional<std::int64_t> after_event;
+};
+
+// Load that an upstream states in its answer.
+struct StatedLoad {
+  std::int64_t running = 0;
+  std::int64_t waiting = 0;
+};
+
+// What an upstream's response head says beyond its status.
+struct UpstreamAnswer {
+  // Whether it answers the request that was sent, by its id.
+  bool matches = true;
+  // The upstream certainly did not run the request.
+  bool not_run = false;
+  // Another upstream has the address now.
+  bool wrong_upstream = false;
+  // Whether the answer is the upstream's own and not of something in between.
+  bool has_receipt = false;
+  std::optional<StatedLoad> load;
+};
+
+// The translation between the gateway and one protocol of callers and
+// upstreams.
+struct Dialect {
+  // Fails with kInvalidArgument for a request that cannot be understood.
+  std::function<Result<serving::ServiceRequest>(const eventhttp::RequestHead&)>
+      decode_request;
+  // The bytes of an attempt: head and body.
+  std::function<std::string(const eventhttp::RequestHead&,
+                            const std::string& body, const AttemptFields&)>
+      encode_attempt;
+  std::function<UpstreamAnswer(const eventhttp::ResponseHead&,
+                               const RequestId&)>
+      decode_answer;
+  // The fields of an upstream's response that the caller gets.
+  std::function<eventhttp::HeaderFields(const eventhttp::ResponseHead&)>
+      caller_fields;
+  // The fields of an answer of the gateway's own.
+  std::function<eventhttp::HeaderFields(const RequestId&,
+                                        std::optional<Duration> retry_after)>
+      own_fields;
+};
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/fleet_node.cc
@@ -0,0 +1,205 @@
+#include "daemon/gateway/fleet_node.h"
+
+#include <utility>
+
+#include "core/variant/overloaded.h"
+#include "daemon/gateway/request_exchange.h"
+
+namespace dotterellug::gateway {
+namespace {
+
+// How often a daemon reports to its hub.
+constexpr auto kReportInterval = std::chrono::milliseconds(150);
+// Shortest time between two reports, when a request waits for one.
+constexpr auto kLeastInterval = std::chrono::milliseconds(8);
+
+}  // namespace
+
+FleetNode::FleetNode(GatewayContext& context, Incarnation incarnation)
+    : context_(context),
+      incarnation_(incarnation),
+      socket_(context.loop),
+      timer_(context.loop),
+      hub_({},
+           [this](const ClientAccountId& id) -> std::optional<RateLimit> {
+             if (!context_.catalog) return std::nullopt;
+             const auto* account = context_.catalog->FindAccount(id);
+             if (account == nullptr || account->limit.per_second <= 0) {
+               return std::nullopt;
+             }
+             return RateLimit{Tokens(account->limit.per_second),
+                              Tokens(account->limit.burst)};
+           }),
+      selector_(context.settings.instance, {}) {}
+
+auto FleetNode::Start() -> Result<SocketAddress> {
+  namespace ip = boost::asio::ip;
+  const auto& address = context_.settings.peers;
+  boost::system::error_code error;
+  const ip::udp::endpoint endpoint(ip::make_address(address.host, error),
+                                   address.port);
+  if (!error) socket_.open(endpoint.protocol(), error);
+  if (!error) socket_.bind(endpoint, error);
+  if (!error) socket_.non_blocking(true, error);
+  if (error) {
+    return Fail(ErrorKind::kUnavailable,
+                "cannot receive datagrams on " + address.Text() + ": " +
+                    error.message(),
+                "use an address of this machine and a free port");
+  }
+  Receive();
+  ScheduleReport(kReportInterval);
+  return SocketAddress{address.host, socket_.local_endpoint().port()};
+}
+
+auto FleetNode::SetMembers(const std::vector<Member>& members) -> void {
+  members_.clear();
+  std::vector<InstanceId> ids;
+  for (const auto& member : members) {
+    members_[member.id] = member;
+    ids.push_back(member.id);
+  }
+  const auto count = std::max<std::size_t>(ids.size(), 1);
+  hub_.SetRegistered(static_cast<std::int64_t>(count));
+  context_.repeats.SetDaemons(static_cast<std::int64_t>(count));
+  context_.cold_gate.SetMembers(ids);
+  selector_.SetMembers(ids);
+}
+
+auto FleetNode::Receive() -> void {
+  socket_.async_receive_from(
+      boost::asio::buffer(input_), sender_,
+      [this](boost::system::error_code error, std::size_t size) {
+        if (error == boost::asio::error::operation_aborted) return;
+        if (!error) OnDatagram(size);
+        Receive();
+      });
+}
+
+auto FleetNode::OnDatagram(std::size_t size) -> void {
+  const auto message =
+      fleet::DecodeFleetMessage(std::string_view(input_.data(), size));
+  if (!message) {
+    context_.log.Write(EventRank::kFailure, "datagram_rejected")
+        .Add("error", message.error().Text());
+    return;
+  }
+  const auto now = MonotonicNow();
+  std::visit(Overloaded{[&](const fleet::FleetReport& report) {
+                          Send(sender_, Answer(report, now));
+                        },
+                        [&](const fleet::FleetSummary& summary) {
+                          OnSummary(summary, now);
+                        }},
+             *message);
+}
+
+auto FleetNode::Answer(const fleet::FleetReport& report, Timestamp now)
+    -> fleet::FleetSummary {
+  auto summary = hub_.OnReport(report, now);
+  summary.from = context_.settings.instance;
+  summary.leads = leading_;
+  summary.closing = closing_;
+  return summary;
+}
+
+auto FleetNode::OnSummary(const fleet::FleetSummary& summary, Timestamp now)
+    -> void {
+  selector_.OnAnswer(summary.from, now);
+  for (const auto& grant : summary.grants) {
+    context_.allowances.OnGrant(grant, now);
+  }
+  if (summary.leads) {
+    leader_seen_ = now;
+    selector_.SetLeader(summary.from);
+  }
+  for (const auto& [id, upstream] : context_.upstreams.All()) {
+    upstream->foreign = {};
+  }
+  for (const auto& use : summary.others) {
+    const auto upstream = context_.upstreams.Find(use.upstream);
+    if (!upstream) continue;
+    upstream->foreign = {static_cast<double>(use.requests),
+                         static_cast<double>(use.tokens)};
+  }
+  context_.closing.clear();
+  for (const auto& model : summary.closing) {
+    context_.closing.insert({model.upstream, model.model});
+  }
+  if (!summary.grants.empty()) RetryParked(now);
+}
+
+auto FleetNode::RetryParked(Timestamp now) -> void {
+  auto parked = std::exchange(context_.parked, {});
+  std::vector<std::shared_ptr<RequestExchange>> still;
+  for (auto& exchange : parked) {
+    if (exchange->Retry(now)) still.push_back(std::move(exchange));
+  }
+  // Requests that were parked meanwhile come behind.
+  for (auto& exchange : context_.parked) still.push_back(std::move(exchange));
+  context_.parked = std::move(still);
+}
+
+auto FleetNode::ScheduleReport(Duration delay) -> void {
+  timer_.expires_after(delay);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) Report();
+  });
+}
+
+auto FleetNode::ReportNow() -> void {
+  if (report_soon_) return;
+  report_soon_ = true;
+  const auto since = MonotonicNow() - reported_at_;
+  ScheduleReport(since >= kLeastInterval ? Duration(0)
+                                         : kLeastInterval - since);
+}
+
+auto FleetNode::MakeReport(Timestamp now) -> fleet::FleetReport {
+  fleet::FleetReport report;
+  report.from = context_.settings.instance;
+  report.incarnation = incarnation_;
+  report.sequence = ++sequence_;
+  for (const auto& [id, upstream] : context_.upstreams.All()) {
+    if (upstream->requests == 0) continue;
+    report.upstreams.push_back({id, upstream->requests, upstream->tokens});
+  }
+  for (const auto& [model, use] : context_.demand) report.models.push_back(use);
+  report.missing = std::exchange(context_.missing, {});
+  report.wants = context_.allowances.TakeWants(now);
+  return report;
+}
+
+auto FleetNode::Report() -> void {
+  const auto now = MonotonicNow();
+  report_soon_ = false;
+  reported_at_ = now;
+  const auto report = MakeReport(now);
+  const auto hub = selector_.Choose(now);
+  const auto member = members_.find(hub);
+  const bool own = hub == context_.settings.instance;
+  if (!own && member != members_.end()) {
+    const auto& address = member->second.peers;
+    Send({boost::asio::ip::make_address(address.host), address.port}, report);
+  }
+  // Without a hub that answers, this daemon serves itself from its own part of
+  // the limits. The tokens it asked another hub for are lost if they come.
+  if (own || !selector_.Connected(now)) {
+    const auto summary = Answer(report, now);
+    for (const auto& grant : summary.grants) {
+      context_.allowances.OnGrant(grant, now);
+    }
+    if (own) OnSummary(summary, now);
+  }
+  RetryParked(now);
+  ScheduleReport(kReportInterval);
+}
+
+auto FleetNode::Send(const boost::asio::ip::udp::endpoint& to,
+                     const fleet::FleetMessage& message) -> void {
+  boost::system::error_code ignored;  // A lost report is made good by the next.
+  socket_.send_to(boost::asio::buffer(fleet::EncodeFleetMessage(message)), to,
+                  0, ignored);
+}
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/gateway.cc
@@ -0,0 +1,281 @@
+#include "daemon/gateway/gateway.h"
+
+#include <utility>
+
+#include "daemon/gateway/request_exchange.h"
+
+namespace dotterellug::gateway {
+namespace {
+
+// How often parked requests are tried again and connections are tidied up.
+constexpr auto kTick = std::chrono::milliseconds(25);
+constexpr auto kIdleTick = std::chrono::milliseconds(100);
+constexpr auto kSweepInterval = std::chrono::seconds(1);
+constexpr auto kRegistrationRetry = std::chrono::milliseconds(700);
+// Entries of upstreams lapse after three missed signs of life, so a shorter
+// silence of the store loses none.
+constexpr auto kLapseAfter = std::chrono::milliseconds(1500);
+// Upstreams that live write their entry again within this time of the store's
+// return.
+constexpr auto kReturnTime = std::chrono::milliseconds(2000);
+// After the stop signal the balancer goes on sending new connections until it
+// has seen two answers that this daemon is not ready, a second apart.
+constexpr auto kStopAccepting = std::chrono::milliseconds(2600);
+// Time kept at the end of the grace period for leaving in order.
+constexpr auto kStopReserve = std::chrono::milliseconds(400);
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& loop, const GatewaySettings& settings,
+                 Dialect dialect, const MakeLink& make_link,
+                 Incarnation incarnation)
+    : context_(loop, settings, std::move(dialect),
+               Hash64(settings.instance.Value(),
+                      static_cast<std::uint64_t>(incarnation.Value()))),
+      fleet_(context_, incarnation),
+      link_(make_link(Events())),
+      callers_(loop,
+               [this](std::shared_ptr<eventhttp::ServerSession> session,
+                      eventhttp::ServerRequest request) {
+                 std::make_shared<RequestExchange>(context_, std::move(session),
+                                                   std::move(request))
+                     ->Start();
+               }),
+      readiness_(
+          loop,
+          [this](const std::shared_ptr<eventhttp::ServerSession>& session,
+                 const eventhttp::ServerRequest& request) {
+            const auto& path = context_.settings.readiness_path;
+            const bool asked = request.head.target == path;
+            session->Respond(asked ? (Ready() ? 200 : 503) : 404, {}, "");
+          }),
+      metrics_(loop,
+               [this](const std::shared_ptr<eventhttp::ServerSession>& session,
+                      const eventhttp::ServerRequest&) {
+                 session->Respond(200, {{"Content-Type", "text/plain"}},
+                                  context_.metrics.Text());
+               }),
+      tick_(loop),
+      drain_timer_(loop) {
+  context_.report_now = [this] { fleet_.ReportNow(); };
+}
+
+Gateway::~Gateway() = default;
+
+auto Gateway::Start() -> Result<SocketAddress> {
+  auto address = callers_.Listen(context_.settings.callers);
+  if (!address) return address;
+  auto other = readiness_.Listen(context_.settings.readiness);
+  if (!other) return other;
+  other = metrics_.Listen(context_.settings.metrics);
+  if (!other) return other;
+  other = fleet_.Start();
+  if (!other) return other;
+  context_.log.Write(EventRank::kState, "started")
+      .Add("callers", address->Text())
+      .Add("zone", context_.settings.zone.Value());
+  link_->start();
+  Tick();
+  return address;
+}
+
+auto Gateway::Ready() const -> bool {
+  return context_.catalog && upstreams_known_ && members_known_ &&
+         zones_known_ && registered_ && !draining_;
+}
+
+auto Gateway::Events() -> ControlEvents {
+  ControlEvents events;
+  events.on_catalog = [this](auto catalog) { OnCatalog(std::move(catalog)); };
+  events.on_upstream = [this](const auto& record) { OnUpstream(record); };
+  events.on_upstream_gone = [this](const auto& id) { OnUpstreamGone(id); };
+  events.on_upstreams_listed = [this](const auto& listed) {
+    OnUpstreamsListed(listed);
+  };
+  events.on_zones_out = [this](auto zones) { OnZonesOut(std::move(zones)); };
+  events.on_members = [this](auto members) { OnMembers(std::move(members)); };
+  events.on_store_contact = [this](bool answered) { OnStoreContact(answered); };
+  events.on_bad_entry = [this](const Error& error) {
+    context_.metrics.Count("bad_entries", "kind", ErrorKindName(error.kind));
+    context_.log.Write(EventRank::kFailure, "entry_skipped")
+        .Add("error", error.Text());
+  };
+  return events;
+}
+
+auto Gateway::OnCatalog(std::shared_ptr<const serving::ServingCatalog> catalog)
+    -> void {
+  const auto current = context_.catalog ? context_.catalog->version : -1;
+  if (catalog->version <= current) return;
+  context_.catalog = std::move(catalog);
+  const auto& limits = context_.catalog->limits;
+  callers_.SetLimits({limits.header_bytes, limits.body_bytes,
+                      limits.header_timeout, limits.idle_timeout});
+  context_.metrics.Set("config_version",
+                       static_cast<double>(context_.catalog->version));
+  context_.log.Write(EventRank::kState, "config_in_force")
+      .Add("config", context_.catalog->version)
+      .Add("before", current);
+}
+
+auto Gateway::OnUpstream(const serving::UpstreamRecord& record) -> void {
+  lapsed_.erase(record.id);
+  const auto known = context_.upstreams.Find(record.id);
+  const bool news = !known || known->record.leaving != record.leaving ||
+                    known->record.started_ms != record.started_ms;
+  context_.upstreams.Upsert(record, MonotonicNow());
+  if (!news) return;
+  context_.log.Write(EventRank::kState, "upstream")
+      .Add("upstream", record.id.Value())
+      .Add("pool", record.pool.Value())
+      .Add("address", record.address.Text())
+      .Add("state", record.leaving ? "leaving" : "live")
+      .AddMs("cold_ms", record.cold_left);
+}
+
+auto Gateway::RemoveUpstream(const UpstreamId& id, const char* cause) -> void {
+  const auto known = context_.upstreams.Find(id);
+  if (!known) return;
+  context_.log.Write(EventRank::kState, "upstream")
+      .Add("upstream", id.Value())
+      .Add("state", "gone")
+      .Add("cause", cause);
+  context_.connections.Drop(known->record.address);
+  context_.upstreams.Remove(id);
+}
+
+auto Gateway::OnUpstreamGone(const UpstreamId& id) -> void {
+  const auto now = MonotonicNow();
+  const bool lapsing =
+      store_silent_since_ ||
+      (store_returned_ && now - *store_returned_ < kReturnTime);
+  if (!lapsing) return RemoveUpstream(id, "entry_removed");
+  lapsed_.try_emplace(id, now + kReturnTime);
+}
+
+auto Gateway::OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void {
+  upstreams_known_ = true;
+  std::vector<UpstreamId> missing;
+  for (const auto& [id, upstream] : context_.upstreams.All()) {
+    if (listed.count(id) == 0) missing.push_back(id);
+  }
+  for (const auto& id : missing) OnUpstreamGone(id);
+}
+
+auto Gateway::OnZonesOut(std::set<AvailabilityZoneId> zones) -> void {
+  zones_known_ = true;
+  std::string names;
+  for (const auto& zone : zones) names += zone.Value() + " ";
+  context_.log.Write(EventRank::kState, "zones_out").Add("zones", names);
+  context_.upstreams.SetZonesOut(std::move(zones));
+}
+
+auto Gateway::OnMembers(std::vector<Member> members) -> void {
+  members_known_ = true;
+  registered_ = false;
+  for (const auto& member : members) {
+    if (member.id == context_.settings.instance &&
+        member.peers == context_.settings.peers) {
+      registered_ = true;
+    }
+  }
+  context_.log.Write(EventRank::kState, "members")
+      .Add("count", static_cast<std::int64_t>(members.size()));
+  fleet_.SetMembers(members);
+  if (!registered_) RegisterSelf();
+}
+
+auto Gateway::RegisterSelf() -> void {
+  if (draining_) return;
+  registration_tried_ = MonotonicNow();
+  link_->register_member(
+      {context_.settings.instance, context_.settings.peers, 0});
+}
+
+auto Gateway::OnStoreContact(bool answered) -> void {
+  const auto now = MonotonicNow();
+  if (answered) {
+    const bool away =
+        store_silent_since_.has_value() && now - store_answered_ > kLapseAfter;
+    if (away) store_returned_ = now;
+    if (store_silent_since_) {
+      context_.log.Write(EventRank::kState, "store_regained")
+          .AddMs("silent_ms", now - *store_silent_since_);
+    }
+    store_silent_since_.reset();
+    store_answered_ = now;
+    return;
+  }
+  if (store_silent_since_) return;
+  store_silent_since_ = now;
+  context_.log.Write(EventRank::kState, "store_lost")
+      .AddMs("since_answer_ms", now - store_answered_);
+}
+
+auto Gateway::RetryParked(Timestamp now) -> void {
+  if (context_.parked.empty()) return;
+  auto parked = std::exchange(context_.parked, {});
+  std::vector<std::shared_ptr<RequestExchange>> still;
+  for (auto& exchange : parked) {
+    if (exchange->Retry(now)) still.push_back(std::move(exchange));
+  }
+  for (auto& exchange : context_.parked) still.push_back(std::move(exchange));
+  context_.parked = std::move(still);
+}
+
+auto Gateway::Tick() -> void {
+  const auto now = MonotonicNow();
+  RetryParked(now);
+  context_.log.Flush(now);
+  for (auto lapsed = lapsed_.begin(); lapsed != lapsed_.end();) {
+    if (now < lapsed->second || store_silent_since_) {
+      ++lapsed;
+      continue;
+    }
+    RemoveUpstream(lapsed->first, "lapsed");
+    lapsed = lapsed_.erase(lapsed);
+  }
+  if (now - swept_at_ > kSweepInterval) {
+    swept_at_ = now;
+    context_.connections.Sweep(now);
+    context_.cold_gate.Sweep(now);
+    context_.metrics.Set("open_requests",
+                         static_cast<double>(context_.open_requests));
+    context_.metrics.Set("log_lines_dropped",
+                         static_cast<double>(context_.log.Dropped()));
+  }
+  if (members_known_ && !registered_ &&
+      now - registration_tried_ > kRegistrationRetry) {
+    RegisterSelf();
+  }
+  if (draining_) FinishDrain();
+  tick_.expires_after(context_.parked.empty() ? Duration(kIdleTick)
+                                              : Duration(kTick));
+  tick_.async_wait([this](boost::system::error_code error) {
+    if (!error) Tick();
+  });
+}
+
+auto Gateway::Drain() -> void {
+  if (draining_) return;
+  draining_ = true;
+  drain_started_ = MonotonicNow();
+  callers_.BeginDrain();
+  context_.log.Write(EventRank::kState, "stopping")
+      .Add("open_requests", context_.open_requests);
+}
+
+auto Gateway::FinishDrain() -> void {
+  const auto age = MonotonicNow() - *drain_started_;
+  const auto longest = context_.settings.bounds.stop_grace - kStopReserve;
+  if (age < std::min<Duration>(kStopAccepting, longest)) return;
+  callers_.StopAccepting();
+  if (callers_.BusySessions() > 0 && age < longest) return;
+  context_.log.Write(EventRank::kState, "stopped")
+      .Add("open_requests", context_.open_requests)
+      .AddMs("took_ms", age);
+  context_.log.Flush(MonotonicNow());
+  context_.loop.stop();
+}
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/gateway.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "core/core.h"
+#include "daemon/gateway/control_link.h"
+#include "daemon/gateway/fleet_node.h"
+#include "daemon/gateway/gateway_context.h"
+
+namespace dotterellug::gateway {
+
+// One daemon on a platform that registers upstreams and configuration in its
+// store: everything runs on one event loop.
+class Gateway {
+ public:
+  // Makes the link to the platform, given where its events go.
+  using MakeLink =
+      std::function<std::shared_ptr<ControlLink>(ControlEvents events)>;
+
+  Gateway(boost::asio::io_context& loop, const GatewaySettings& settings,
+          Dialect dialect, const MakeLink& make_link, Incarnation incarnation);
+  Gateway(const Gateway&) = delete;
+  auto operator=(const Gateway&) -> Gateway& = delete;
+  ~Gateway();
+
+  // Opens the listeners and follows the platform.
+  auto Start() -> Result<SocketAddress>;
+  // Stops in order: callers stop coming first, then requests in progress end.
+  // The loop ends when that is done.
+  auto Drain() -> void;
+  auto Ready() const -> bool;
+
+ private:
+  auto Events() -> ControlEvents;
+  auto OnCatalog(std::shared_ptr<const serving::ServingCatalog> catalog)
+      -> void;
+  auto OnUpstream(const serving::UpstreamRecord& record) -> void;
+  auto OnUpstreamGone(const UpstreamId& id) -> void;
+  auto OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void;
+  auto OnZonesOut(std::set<AvailabilityZoneId> zones) -> void;
+  auto OnMembers(std::vector<Member> members) -> void;
+  auto OnStoreContact(bool answered) -> void;
+  auto RemoveUpstream(const UpstreamId& id, const char* cause) -> void;
+  auto Tick() -> void;
+  auto RegisterSelf() -> void;
+  auto RetryParked(Timestamp now) -> void;
+  auto FinishDrain() -> void;
+
+  GatewayContext context_;
+  FleetNode fleet_;
+  std::shared_ptr<ControlLink> link_;
+  eventhttp::HttpServer callers_;
+  eventhttp::HttpServer readiness_;
+  eventhttp::HttpServer metrics_;
+  boost::asio::steady_timer tick_;
+  boost::asio::steady_timer drain_timer_;
+
+  bool upstreams_known_ = false;
+  bool members_known_ = false;
+  bool zones_known_ = false;
+  bool registered_ = false;
+  bool draining_ = false;
+  std::optional<Timestamp> drain_started_;
+  Timestamp registration_tried_{};
+  Timestamp swept_at_{};
+  // The store's answers: since when it has been silent, and when it returned
+  // from a silence in which entries may have lapsed.
+  Timestamp store_answered_{};
+  std::optional<Timestamp> store_silent_since_;
+  std::optional<Timestamp> store_returned_;
+  // Upstreams that lapsed while the store was away and may come back.
+  std::map<UpstreamId, Timestamp> lapsed_;
+};
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/gateway_context.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "daemon/gateway/dialect.h"
+#include "daemon/gateway/gateway_metrics.h"
+#include "daemon/gateway/gateway_settings.h"
+#include "eventhttp/eventhttp.h"
+#include "fleet/fleet.h"
+#include "serving/serving.h"
+#include "telemetry/telemetry.h"
+
+namespace dotterellug::gateway {
+
+class RequestExchange;
+
+// What all requests of a gateway share. Used by the event loop's thread only.
+struct GatewayContext {
+  GatewayContext(boost::asio::io_context& event_loop,
+                 const GatewaySettings& own_settings, Dialect own_dialect,
+                 std::uint64_t seed);
+
+  boost::asio::io_context& loop;
+  GatewaySettings settings;
+  Dialect dialect;
+  EventLog log;
+  GatewayMetrics metrics;
+  // Null until a configuration is known.
+  std::shared_ptr<const serving::ServingCatalog> catalog;
+  serving::UpstreamTable upstreams;
+  serving::UpstreamChoice choice;
+  serving::ColdGate cold_gate;
+  serving::RepeatBudget repeats;
+  fleet::AllowanceHolder allowances;
+  eventhttp::ConnectionPool connections;
+  Random random;
+
+  // Models that engines are about to unload.
+  std::set<std::pair<UpstreamId, ModelId>> closing;
+  // What callers asked of each model since the start.
+  std::map<ModelId, fleet::ModelUse> demand;
+  // Adapters asked for and not held anywhere, since the last report.
+  std::vector<fleet::MissingAdapter> missing;
+  // Requests that wait for tokens or for an upstream, in order of arrival.
+  std::vector<std::shared_ptr<RequestExchange>> parked;
+  // Reports to the hub at once, because a request waits for its answer.
+  std::function<void()> report_now;
+  std::int64_t open_requests = 0;
+};
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/gateway_settings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+
+#include "core/core.h"
+
+namespace dotterellug::gateway {
+
+// Limits that hold over the whole fleet and that decisions need.
+struct GatewayBounds {
+  // How long a holder of orders may act after its last sign; the next one waits
+  // as long.
+  Duration lease_ttl = std::chrono::seconds(3);
+  // From the stop signal until the process is killed.
+  Duration stop_grace = std::chrono::seconds(8);
+  // Attempts beyond the first of each request, over all daemons and per pool.
+  double repeat_ratio = 0.2;
+  double repeat_slack = 50;
+  Duration repeat_window = std::chrono::seconds(10);
+};
+
+// What one gateway knows about itself before it has read anything.
+struct GatewaySettings {
+  InstanceId instance;
+  AvailabilityZoneId zone;
+  // The address on which callers' requests arrive.
+  SocketAddress callers;
+  // Where the load balancer asks whether this daemon is ready.
+  SocketAddress readiness;
+  std::string readiness_path;
+  // UDP address for messages between daemons, TCP address for metrics.
+  SocketAddress peers;
+  SocketAddress metrics;
+  GatewayBounds bounds;
+};
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/request_exchange.cc
@@ -0,0 +1,565 @@
+#include "daemon/gateway/request_exchange.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace dotterellug::gateway {
+namespace {
+
+using eventhttp::ExchangeEnd;
+using eventhttp::HeadVerdict;
+using serving::NoChoice;
+using serving::RequestKind;
+
+// A request waits so long for tokens of its account: a few round trips to the
+// hub.
+constexpr auto kTokenWait = std::chrono::milliseconds(120);
+// Part of the caller's patience for which a request waits for an upstream that
+// can take it, such as one that is loading its model.
+constexpr double kUpstreamWaitPart = 0.3;
+// The same while the upstreams exist and are only full or cold.
+constexpr double kFullWaitPart = 0.12;
+// When a caller whose request found no upstream is asked to come back.
+constexpr auto kReturnAfter = std::chrono::milliseconds(1000);
+// Before the configuration is known.
+constexpr auto kReturnWhenConfigured = std::chrono::milliseconds(500);
+// A kept connection that was idle for longer is not used for a request that may
+// run only once: the upstream may be closing it.
+constexpr auto kOnceMaxIdle = std::chrono::milliseconds(1000);
+constexpr auto kMaxIdle = std::chrono::seconds(30);
+// Answers up to this size are kept until they are complete, so that a broken
+// one can be asked for again.
+constexpr std::size_t kBufferedAnswer = 262'144;
+// Unsent bytes of a stream at which its upstream is read no further.
+constexpr std::size_t kStreamHighWater = 65'536;
+// An attempt is not made when less time is left than this.
+constexpr auto kLeastTime = std::chrono::milliseconds(20);
+// An upstream that has not answered an idempotent request after this multiple
+// of the route's goal is given up for another one.
+constexpr int kSilenceGoals = 2;
+// Requests waiting at an upstream beyond its slots, as a part of the slots.
+constexpr double kQueuePart = 1.0;
+// Not-run answers after which a request is refused.
+constexpr int kMostNotRun = 3;
+
+auto ReasonName(NoChoice reason) -> const char* {
+  switch (reason) {
+    case NoChoice::kNoUpstream:
+      return "no_upstream";
+    case NoChoice::kNoModel:
+      return "model_not_loaded";
+    case NoChoice::kFull:
+      return "upstreams_full";
+  }
+  return "no_upstream";
+}
+
+auto ContentLength(const eventhttp::HeaderFields& fields)
+    -> std::optional<std::uint64_t> {
+  const auto* value = FindField(fields, "Content-Length");
+  if (value == nullptr) return std::nullopt;
+  std::uint64_t length = 0;
+  const auto [end, error] =
+      std::from_chars(value->data(), value->data() + value->size(), length);
+  if (error != std::errc()) return std::nullopt;
+  return length;
+}
+
+auto Part(Duration whole, double part) -> Duration {
+  return FromSeconds(ToSeconds(whole) * part);
+}
+
+}  // namespace
+
+RequestExchange::RequestExchange(
+    GatewayContext& context, std::shared_ptr<eventhttp::ServerSession> session,
+    eventhttp::ServerRequest request)
+    : context_(context),
+      session_(std::move(session)),
+      http_(std::move(request)),
+      arrival_(http_.received_at),
+      timer_(context.loop) {
+  ++context_.open_requests;
+}
+
+RequestExchange::~RequestExchange() { --context_.open_requests; }
+
+auto RequestExchange::Start() -> void {
+  session_->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+  if (!Identify()) return;
+  const auto now = MonotonicNow();
+  ArmTimer();
+  CountDemand();
+  if (SpendTokens(now)) Dispatch(now);
+}
+
+// Finds route, account and deadline, or answers the request.
+auto RequestExchange::Identify() -> bool {
+  auto decoded = context_.dialect.decode_request(http_.head);
+  if (decoded) request_ = std::move(*decoded);
+  catalog_ = context_.catalog;
+  if (!catalog_) {
+    Refuse(503, "not_configured", kReturnWhenConfigured);
+    return false;
+  }
+  if (!decoded) {
+    Refuse(400, "malformed", std::nullopt);
+    return false;
+  }
+  route_ = catalog_->FindRoute(request_.host, request_.target);
+  if (route_ == nullptr) {
+    Refuse(404, "no_route", std::nullopt);
+    return false;
+  }
+  const auto* account =
+      request_.key ? catalog_->FindAccount(*request_.key) : nullptr;
+  if (account == nullptr && catalog_->requires_keys && !route_->open) {
+    Refuse(401, request_.key ? "unknown_key" : "no_key", std::nullopt);
+    return false;
+  }
+  priority_ = route_->priority;
+  if (account != nullptr) {
+    account_ = account->id;
+    priority_ = account->priority.value_or(priority_);
+  }
+  const auto patience = request_.patience.value_or(route_->timeout);
+  deadline_ = arrival_ + std::min(patience, route_->timeout);
+  return true;
+}
+
+auto RequestExchange::CountDemand() -> void {
+  if (request_.model.Empty()) return;
+  auto& use = context_.demand[request_.model];
+  use.model = request_.model;
+  ++use.requests;
+  use.tokens += request_.size ? request_.size->Total() : 1;
+}
+
+// Draws the request's tokens from its account. Without them the request waits
+// or is refused.
+auto RequestExchange::SpendTokens(Timestamp now) -> bool {
+  const auto* account =
+      account_.Empty() ? nullptr : catalog_->FindAccount(account_);
+  if (account == nullptr || account->limit.per_second <= 0) return true;
+  const auto tokens = serving::ChargedTokens(request_, account->limit);
+  if (context_.allowances.TrySpend(account_, tokens, now)) {
+    charged_ = tokens;
+    return true;
+  }
+  if (const auto wait = context_.allowances.ExhaustedFor(account_, now)) {
+    const auto rate = static_cast<double>(account->limit.per_second);
+    const auto needed = FromSeconds(static_cast<double>(tokens) / rate);
+    Refuse(429, "over_limit", std::max(*wait, needed));
+    return false;
+  }
+  const bool asked = waiting_ == Waiting::kTokens;
+  if (!asked) {
+    context_.allowances.Need(account_, tokens);
+    waits_for_ = "tokens";
+    Park(Waiting::kTokens, std::min(now + kTokenWait, deadline_));
+    context_.report_now();
+  }
+  return false;
+}
+
+auto RequestExchange::Park(Waiting reason, Timestamp until) -> void {
+  const bool listed = waiting_ != Waiting::kNothing;
+  waiting_ = reason;
+  waits_until_ = until;
+  if (!listed) context_.parked.push_back(shared_from_this());
+}
+
+auto RequestExchange::Retry(Timestamp now) -> bool {
+  if (done_ || waiting_ == Waiting::kNothing) return false;
+  if (waiting_ == Waiting::kTokens) {
+    if (SpendTokens(now)) {
+      Dispatch(now);
+    } else if (!done_ && now >= waits_until_) {
+      Refuse(429, "over_limit", kReturnAfter);
+    }
+  } else {
+    Dispatch(now);
+  }
+  return !done_ && waiting_ != Waiting::kNothing;
+}
+
+auto RequestExchange::ChoosePool() -> const serving::ServicePool* {
+  std::int64_t total = 0;
+  for (const auto& part : route_->pools) total += part.weight;
+  auto draw = static_cast<std::int64_t>(
+      context_.random.Below(static_cast<std::uint64_t>(total)));
+  for (const auto& part : route_->pools) {
+    draw -= part.weight;
+    if (draw < 0) return catalog_->FindPool(part.pool);
+  }
+  return nullptr;
+}
+
+auto RequestExchange::Choose(Timestamp now)
+    -> tl::expected<serving::UpstreamTable::Entry, NoChoice> {
+  serving::ChoiceRequest choice;
+  choice.pool = pool_->id;
+  serving::ChoicePool facts;
+  facts.queue_part = kQueuePart;
+  if (pool_->engine) {
+    choice.model = request_.model;
+    choice.adapter = request_.adapter;
+    facts.kv_tokens = pool_->engine->kv_tokens;
+  }
+  choice.tokens = request_.size ? request_.size->Total() : 0;
+  choice.shared_prompt = request_.shared_prompt;
+  choice.zone = context_.settings.zone;
+  choice.excluded = tried_;
+  if (!choice.model.Empty()) {
+    for (const auto& [upstream, model] : context_.closing) {
+      if (model == choice.model) choice.excluded.push_back(upstream);
+    }
+  }
+  const auto cold_gate = [&](const serving::LiveUpstream& upstream) {
+    if (pool_->cold_per_second <= 0) return true;
+    return context_.cold_gate.TryTake(upstream, pool_->cold_per_second, now);
+  };
+  return context_.choice.Choose(context_.upstreams, choice, facts, cold_gate,
+                                context_.random, now);
+}
+
+auto RequestExchange::Dispatch(Timestamp now) -> void {
+  if (pool_ == nullptr) pool_ = ChoosePool();
+  if (pool_ == nullptr) return Refuse(503, "no_pool", kReturnAfter);
+  if (deadline_ - now < kLeastTime) {
+    return Refuse(503, "no_time_left", std::nullopt);
+  }
+  const auto upstream = Choose(now);
+  if (!upstream) return ParkForUpstream(upstream.error(), now);
+  waiting_ = Waiting::kNothing;
+  SendTo(*upstream, now);
+}
+
+// Waits for an upstream that can take the request, or refuses it when the time
+// for that is over.
+auto RequestExchange::ParkForUpstream(NoChoice reason, Timestamp now) -> void {
+  if (reason == NoChoice::kNoModel && !request_.adapter.Empty() &&
+      waiting_ != Waiting::kUpstream) {
+    context_.missing.push_back({request_.model, request_.adapter});
+    context_.report_now();
+  }
+  waits_for_ = ReasonName(reason);
+  const auto part =
+      reason == NoChoice::kFull ? kFullWaitPart : kUpstreamWaitPart;
+  const auto until = arrival_ + Part(deadline_ - arrival_, part);
+  if (now < until) return Park(Waiting::kUpstream, until);
+  if (ran_ > 0) return Refuse(502, waits_for_, std::nullopt);
+  Refuse(503, waits_for_, kReturnAfter);
+}
+
+auto RequestExchange::Repeatable() const -> bool {
+  return route_->kind == RequestKind::kIdempotent ||
+         (Stream() && route_->resumable);
+}
+
+auto RequestExchange::SendTo(const serving::UpstreamTable::Entry& upstream,
+                             Timestamp now) -> void {
+  if (sent_ == 0) context_.repeats.CountRequest(pool_->id, now);
+  ++sent_;
+  ++ran_;
+  tried_.push_back(upstream->record.id);
+  const auto tokens = request_.size ? request_.size->Total() : 0;
+  upstream->requests += 1;
+  upstream->tokens += tokens;
+  AttemptFields fields;
+  fields.upstream = upstream->record.id;
+  fields.account = account_;
+  fields.time_left = deadline_ - now;
+  fields.priority = std::clamp(priority_, 0, 9);
+  if (answering_) fields.after_event = events_.LastEvent();
+  attempt_.emplace();
+  attempt_->upstream = upstream;
+  attempt_->sent_at = now;
+  attempt_->connection = context_.connections.Acquire(
+      upstream->record.address,
+      Repeatable() ? Duration(kMaxIdle) : Duration(kOnceMaxIdle));
+  eventhttp::ExchangeHandlers handlers;
+  handlers.on_head = [self =
+                          shared_from_this()](eventhttp::ResponseHead& head) {
+    return self->OnHead(head);
+  };
+  handlers.on_body = [self = shared_from_this()](std::string_view piece) {
+    self->OnBody(piece);
+  };
+  handlers.on_end = [self = shared_from_this()](ExchangeEnd end) {
+    self->OnEnd(end);
+  };
+  ArmTimer();
+  attempt_->connection->Exchange(
+      context_.dialect.encode_attempt(http_.head, http_.body, fields),
+      std::move(handlers), http_.head.method != "HEAD");
+}
+
+auto RequestExchange::ArmTimer() -> void {
+  auto wake = deadline_;
+  const bool may_switch = attempt_ && !attempt_->head_seen &&
+                          route_->kind == RequestKind::kIdempotent &&
+                          ran_ < route_->max_upstreams;
+  if (may_switch) {
+    wake = std::min(wake, attempt_->sent_at + route_->goal * kSilenceGoals);
+  }
+  timer_.expires_at(wake);
+  timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->done_) self->OnTimer();
+      });
+}
+
+auto RequestExchange::OnTimer() -> void {
+  const auto now = MonotonicNow();
+  if (now >= deadline_) {
+    if (answering_) {
+      DropAttempt();
+      session_->Abort();
+      return Finish("failed", "deadline_in_stream", 0);
+    }
+    const bool may_have_run = ran_ > 0;
+    DropAttempt();
+    return Refuse(may_have_run ? 504 : 503, "deadline", std::nullopt);
+  }
+  if (!attempt_ || attempt_->head_seen) return ArmTimer();
+  const auto upstream = attempt_->upstream;
+  if (MayRepeat(now)) {
+    upstream->NoteFailure(now);
+    DropAttempt();
+    if (TryAgain("silent", now)) return;
+    return Refuse(502, "silent", std::nullopt);
+  }
+  // Waits for this one to the end.
+  timer_.expires_at(deadline_);
+  timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->done_) self->OnTimer();
+      });
+}
+
+auto RequestExchange::OnHead(eventhttp::ResponseHead& head) -> HeadVerdict {
+  const auto answer = context_.dialect.decode_answer(head, request_.id);
+  auto& attempt = *attempt_;
+  if (!answer.matches) {
+    context_.log.Write(EventRank::kFailure, "answer_of_another_request")
+        .Add("request", request_.id.Value())
+        .Add("upstream", attempt.upstream->record.id.Value());
+    return HeadVerdict::kSkip;
+  }
+  attempt.answer = answer;
+  attempt.head_seen = true;
+  attempt.status = head.status;
+  if (answer.not_run) {
+    --ran_;
+    attempt.discard = true;
+    return HeadVerdict::kAccept;
+  }
+  if (head.status / 100 == 2 && !answer.has_receipt) {
+    return HeadVerdict::kReject;
+  }
+  const auto now = MonotonicNow();
+  const bool failed = head.status >= 500;
+  if (failed) {
+    attempt.upstream->NoteFailure(now);
+    if (MayRepeat(now)) {
+      attempt.discard = true;
+      return HeadVerdict::kAccept;
+    }
+    if (answering_) return HeadVerdict::kReject;
+  }
+  AcceptAnswer(head);
+  return HeadVerdict::kAccept;
+}
+
+auto RequestExchange::AcceptAnswer(const eventhttp::ResponseHead& head)
+    -> void {
+  auto& attempt = *attempt_;
+  attempt.fields = context_.dialect.caller_fields(head);
+  attempt.length = ContentLength(head.fields);
+  const bool stream = Stream() && head.status / 100 == 2;
+  const bool large = attempt.length && *attempt.length > kBufferedAnswer;
+  if (answering_ || (!stream && !large)) return;
+  answering_ = true;
+  session_->OnDrained([self = shared_from_this()] {
+    if (self->attempt_) self->attempt_->connection->Resume();
+  });
+  session_->BeginStream(head.status, attempt.fields,
+                        stream ? std::nullopt : attempt.length);
+}
+
+auto RequestExchange::OnBody(std::string_view piece) -> void {
+  auto& attempt = *attempt_;
+  if (attempt.discard) return;
+  if (!answering_) {
+    attempt.body += piece;
+    return;
+  }
+  if (!Stream()) {
+    session_->SendPiece(piece);
+  } else {
+    const auto whole = events_.Feed(piece);
+    if (!whole.empty() && !attempt.first_event_seen) {
+      attempt.first_event_seen = true;
+      attempt.upstream->NoteSuccess(MonotonicNow());
+    }
+    session_->SendPiece(whole);
+  }
+  if (attempt_ && session_->UnsentBytes() > kStreamHighWater) {
+    attempt_->connection->Pause();
+  }
+}
+
+auto RequestExchange::OnEnd(ExchangeEnd end) -> void {
+  if (done_ || !attempt_) return;
+  context_.connections.Release(attempt_->connection);
+  if (end == ExchangeEnd::kComplete) {
+    OnAnswerEnd();
+  } else {
+    OnBroken(end);
+  }
+}
+
+auto RequestExchange::OnAnswerEnd() -> void {
+  const auto now = MonotonicNow();
+  const auto status = attempt_->status;
+  if (attempt_->discard) {
+    const auto not_run = attempt_->answer.not_run;
+    const auto wrong = attempt_->answer.wrong_upstream;
+    CloseAttempt();
+    const auto* cause = not_run ? (wrong ? "wrong_upstream" : "upstream_full")
+                                : "upstream_error";
+    if (TryAgain(cause, now)) return;
+    if (answering_) {
+      session_->Abort();
+      return Finish("failed", cause, 0);
+    }
+    if (ran_ > 0) return Refuse(502, cause, std::nullopt);
+    return Refuse(503, cause, kReturnAfter);
+  }
+  if (!Stream() || !answering_) attempt_->upstream->NoteSuccess(now);
+  if (answering_) {
+    if (Stream() && !events_.Rest().empty()) {
+      // The stream ended within an event.
+      return OnBroken(ExchangeEnd::kTruncated);
+    }
+    CloseAttempt();
+    session_->EndStream();
+    return Finish("ok", "", status);
+  }
+  PassWholeAnswer();
+}
+
+auto RequestExchange::PassWholeAnswer() -> void {
+  const auto status = attempt_->status;
+  const auto fields = std::move(attempt_->fields);
+  const auto body = std::move(attempt_->body);
+  CloseAttempt();
+  session_->Respond(status, fields, body);
+  Finish(status / 100 == 2 ? "ok" : "failed",
+         status / 100 == 2 ? "" : "upstream_answer", status);
+}
+
+auto RequestExchange::OnBroken(ExchangeEnd end) -> void {
+  const auto now = MonotonicNow();
+  const auto upstream = attempt_->upstream;
+  const bool unsent = end == ExchangeEnd::kNotSent;
+  if (unsent) --ran_;
+  if (end == ExchangeEnd::kNotSent || end == ExchangeEnd::kNoResponse) {
+    upstream->NoteUnreachable(now);
+  } else {
+    upstream->NoteFailure(now);
+  }
+  CloseAttempt();
+  events_.DropRest();
+  const auto* cause = unsent ? "no_connection" : "upstream_broke_off";
+  if ((unsent || MayRepeat(now)) && TryAgain(cause, now)) return;
+  if (answering_) {
+    session_->Abort();
+    return Finish("failed", cause, 0);
+  }
+  if (ran_ == 0) return Refuse(503, cause, kReturnAfter);
+  Refuse(502, cause, std::nullopt);
+}
+
+auto RequestExchange::OnCallerGone() -> void {
+  if (done_) return;
+  const bool at_work = attempt_.has_value();
+  DropAttempt();
+  Finish("cancelled", at_work ? "caller_left" : "caller_left_waiting", 0);
+}
+
+auto RequestExchange::CloseAttempt() -> void {
+  if (!attempt_) return;
+  const auto tokens = request_.size ? request_.size->Total() : 0;
+  attempt_->upstream->requests -= 1;
+  attempt_->upstream->tokens -= tokens;
+  attempt_.reset();
+}
+
+auto RequestExchange::DropAttempt() -> void {
+  if (attempt_) attempt_->connection->Cancel();
+  CloseAttempt();
+}
+
+auto RequestExchange::MayRepeat(Timestamp now) const -> bool {
+  return Repeatable() && ran_ < route_->max_upstreams &&
+         deadline_ - now > kLeastTime;
+}
+
+// Sends the request to another upstream if the fleet's budget allows it.
+auto RequestExchange::TryAgain(const char* cause, Timestamp now) -> bool {
+  if (sent_ >= route_->max_upstreams + kMostNotRun) return false;
+  if (deadline_ - now < kLeastTime) return false;
+  if (!context_.repeats.TryRepeat(pool_->id, now)) return false;
+  const auto upstream = Choose(now);
+  context_.log.Write(EventRank::kFailure, "repeat")
+      .Add("request", request_.id.Value())
+      .Add("cause", cause)
+      .Add("from", tried_.back().Value())
+      .Add("to", upstream ? (*upstream)->record.id.Value() : "")
+      .Add("after_event", answering_ ? events_.LastEvent().value_or(-1) : -1);
+  if (!upstream) return false;
+  context_.metrics.Count("repeats", "cause", cause);
+  SendTo(*upstream, now);
+  return true;
+}
+
+auto RequestExchange::Refuse(int status, const char* cause,
+                             std::optional<Duration> retry_after) -> void {
+  if (charged_ > 0 && ran_ <= 0) {
+    context_.allowances.Refund(account_, charged_);
+  }
+  const auto fields = context_.dialect.own_fields(request_.id, retry_after);
+  session_->Respond(status, fields, "");
+  Finish(ran_ > 0 ? "failed" : "refused", cause, status);
+}
+
+auto RequestExchange::Finish(const char* outcome, const char* cause, int status)
+    -> void {
+  if (done_) return;
+  done_ = true;
+  waiting_ = Waiting::kNothing;
+  timer_.cancel();
+  session_->OnGone(nullptr);
+  session_->OnDrained(nullptr);
+  context_.metrics.Count("requests", "outcome", outcome);
+  if (*cause != '\0') context_.metrics.Count("causes", "cause", cause);
+  const bool good = *cause == '\0';
+  auto line = context_.log.Write(
+      good ? EventRank::kRoutine : EventRank::kFailure, "request_ended");
+  line.Add("request", request_.id.Value())
+      .Add("outcome", outcome)
+      .Add("status", status)
+      .Add("sent", sent_)
+      .AddMs("took_ms", MonotonicNow() - arrival_);
+  if (!good) line.Add("cause", cause);
+  if (route_ != nullptr) line.Add("route", route_->name);
+  if (!account_.Empty()) line.Add("account", account_.Value());
+  if (!request_.model.Empty()) line.Add("model", request_.model.Value());
+  if (!tried_.empty()) line.Add("upstream", tried_.back().Value());
+  if (catalog_) line.Add("config", catalog_->version);
+}
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/request_exchange.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "daemon/gateway/gateway_context.h"
+
+namespace dotterellug::gateway {
+
+// One request of a caller from its arrival to its final answer: identified,
+// charged to its account, sent to an upstream, and its answer passed on. The
+// event loop keeps it alive through its callbacks.
+class RequestExchange : public std::enable_shared_from_this<RequestExchange> {
+ public:
+  RequestExchange(GatewayContext& context,
+                  std::shared_ptr<eventhttp::ServerSession> session,
+                  eventhttp::ServerRequest request);
+  ~RequestExchange();
+  RequestExchange(const RequestExchange&) = delete;
+  auto operator=(const RequestExchange&) -> RequestExchange& = delete;
+
+  auto Start() -> void;
+  // Tries again to go on with a parked request. Returns whether it still waits.
+  auto Retry(Timestamp now) -> bool;
+
+ private:
+  // Why the request waits.
+  enum class Waiting { kNothing, kTokens, kUpstream };
+
+  // An attempt at one upstream.
+  struct Attempt {
+    serving::UpstreamTable::Entry upstream;
+    std::shared_ptr<eventhttp::ClientConnection> connection;
+    Timestamp sent_at;
+    int status = 0;
+    UpstreamAnswer answer;
+    bool head_seen = false;
+    bool first_event_seen = false;
+    // The answer is not passed on; another attempt follows when it has ended.
+    bool discard = false;
+    eventhttp::HeaderFields fields;
+    std::string body;
+    std::optional<std::uint64_t> length;
+  };
+
+  auto Identify() -> bool;
+  auto CountDemand() -> void;
+  auto SpendTokens(Timestamp now) -> bool;
+  auto Dispatch(Timestamp now) -> void;
+  auto ChoosePool() -> const serving::ServicePool*;
+  auto Choose(Timestamp now)
+      -> tl::expected<serving::UpstreamTable::Entry, serving::NoChoice>;
+  auto Park(Waiting reason, Timestamp until) -> void;
+  auto ParkForUpstream(serving::NoChoice reason, Timestamp now) -> void;
+  auto SendTo(const serving::UpstreamTable::Entry& upstream, Timestamp now)
+      -> void;
+  auto ArmTimer() -> void;
+  auto OnTimer() -> void;
+
+  auto OnHead(eventhttp::ResponseHead& head) -> eventhttp::HeadVerdict;
+  auto AcceptAnswer(const eventhttp::ResponseHead& head) -> void;
+  auto OnBody(std::string_view piece) -> void;
+  auto OnEnd(eventhttp::ExchangeEnd end) -> void;
+  auto OnAnswerEnd() -> void;
+  auto OnBroken(eventhttp::ExchangeEnd end) -> void;
+  auto OnCallerGone() -> void;
+
+  // Ends the attempt's accounting.
+  auto CloseAttempt() -> void;
+  auto DropAttempt() -> void;
+  // Whether a further attempt may be made after one that ran, or may have.
+  auto MayRepeat(Timestamp now) const -> bool;
+  auto TryAgain(const char* cause, Timestamp now) -> bool;
+
+  auto PassWholeAnswer() -> void;
+  auto Refuse(int status, const char* cause,
+              std::optional<Duration> retry_after) -> void;
+  auto Finish(const char* outcome, const char* cause, int status) -> void;
+  auto Repeatable() const -> bool;
+  auto Stream() const -> bool {
+    return route_->kind == serving::RequestKind::kStream;
+  }
+
+  GatewayContext& context_;
+  std::shared_ptr<eventhttp::ServerSession> session_;
+  eventhttp::ServerRequest http_;
+  serving::ServiceRequest request_;
+  // Keeps the configuration that decided the request, and its route.
+  std::shared_ptr<const serving::ServingCatalog> catalog_;
+  const serving::ServiceRoute* route_ = nullptr;
+  const serving::ServicePool* pool_ = nullptr;
+  ClientAccountId account_;
+  int priority_ = 5;
+  Timestamp arrival_;
+  Timestamp deadline_;
+  std::int64_t charged_ = 0;
+
+  Waiting waiting_ = Waiting::kNothing;
+  Timestamp waits_until_{};
+  const char* waits_for_ = "";
+
+  std::optional<Attempt> attempt_;
+  std::vector<UpstreamId> tried_;
+  // Attempts that ran or may have run.
+  int ran_ = 0;
+  // Attempts sent, also those that were not run.
+  int sent_ = 0;
+  bool answering_ = false;
+  bool done_ = false;
+  serving::EventSplitter events_;
+  boost::asio::steady_timer timer_;
+};
+
+}  // namespace dotterellug::gateway
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -5,10 +5,13 @@
 #include <iostream>
 
 #include "daemon/app/daemon.h"
+#include "platform/program/platform_program.h"
 #include "settings/settings.h"
 #include "telemetry/telemetry.h"
 
 DEFINE_string(settings, "", "YAML file with this daemon's settings.");
+DEFINE_bool(platform, false,
+            "Run on the users' platform, with the settings that it provides.");
 DEFINE_bool(check, false, "Only check the settings, then exit.");
 
 namespace {
@@ -44,6 +47,7 @@
       "Serves callers in front of model engines and plain services.");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_platform) return dotterellug::platform::RunOnPlatform();
   if (FLAGS_settings.empty()) {
     std::cerr << "no settings file given; call dotterellugd --settings FILE\n";
     return kExitUsage;
--- /dev/null
+++ b/modules/eventhttp/client/client_connection.cc
@@ -0,0 +1,242 @@
+#include "eventhttp/client/client_connection.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <utility>
+
+#include "eventhttp/message/socket_options.h"
+
+namespace dotterellug::eventhttp {
+namespace {
+
+// Input of whichever connection reads; the loop has one thread.
+auto Scratch() -> std::array<char, 32'768>& {
+  static std::array<char, 32'768> scratch;
+  return scratch;
+}
+
+// Response heads beyond this size are an error of the server.
+constexpr std::uint32_t kHeaderLimit = 65'536;
+
+// The `timeout` parameter of a Keep-Alive field, in whole seconds.
+auto KeepAliveTimeout(const HeaderFields& fields) -> std::optional<Duration> {
+  const auto* value = FindField(fields, "Keep-Alive");
+  if (value == nullptr) return std::nullopt;
+  const auto at = value->find("timeout=");
+  if (at == std::string::npos) return std::nullopt;
+  int seconds = 0;
+  const auto* begin = value->data() + at + 8;
+  const auto [end, error] =
+      std::from_chars(begin, value->data() + value->size(), seconds);
+  if (error != std::errc() || seconds < 0) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(boost::asio::io_context& loop,
+                                   SocketAddress address)
+    : socket_(loop), address_(std::move(address)) {}
+
+auto ClientConnection::Exchange(std::string request, ExchangeHandlers handlers,
+                                bool expect_body) -> void {
+  request_ = std::move(request);
+  handlers_ = std::move(handlers);
+  on_lost_ = nullptr;
+  expect_body_ = expect_body;
+  active_ = true;
+  reusable_ = false;
+  request_sent_ = false;
+  paused_ = false;
+  ++exchanges_;
+  StartParser();
+  if (connected_) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+auto ClientConnection::StartParser() -> void {
+  parser_.emplace();
+  parser_->header_limit(kHeaderLimit);
+  parser_->body_limit(boost::none);
+  if (!expect_body_) parser_->skip(true);
+  head_done_ = false;
+  skipping_ = false;
+}
+
+auto ClientConnection::Connect() -> void {
+  boost::system::error_code error;
+  const boost::asio::ip::tcp::endpoint endpoint(
+      boost::asio::ip::make_address(address_.host, error), address_.port);
+  if (!error) socket_.open(endpoint.protocol(), error);
+  if (error) {
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      if (self->active_) self->Finish(ExchangeEnd::kNotSent);
+    });
+    return;
+  }
+  ApplySocketOptions(socket_, kUpstreamSocketTimeouts);
+  socket_.async_connect(
+      endpoint, [self = shared_from_this()](boost::system::error_code failed) {
+        if (self->closed_ || !self->active_) return;
+        if (failed) return self->Finish(ExchangeEnd::kNotSent);
+        self->connected_ = true;
+        self->Send();
+      });
+}
+
+auto ClientConnection::Send() -> void {
+  boost::asio::async_write(socket_, boost::asio::buffer(request_),
+                           [self = shared_from_this()](
+                               boost::system::error_code error, std::size_t) {
+                             // A failed write shows as the end of the input,
+                             // after whatever the server answered before it
+                             // closed.
+                             if (!error) self->request_sent_ = true;
+                           });
+  WaitForInput();
+}
+
+auto ClientConnection::WaitForInput() -> void {
+  if (waiting_ || closed_ || paused_) return;
+  waiting_ = true;
+  socket_.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](boost::system::error_code error) {
+        self->waiting_ = false;
+        if (self->closed_) return;
+        if (error) return self->HandleEnd(false);
+        if (!self->paused_) self->ReadInput();
+      });
+}
+
+auto ClientConnection::Resume() -> void {
+  if (!paused_) return;
+  paused_ = false;
+  WaitForInput();
+}
+
+auto ClientConnection::ReadInput() -> void {
+  auto& scratch = Scratch();
+  boost::system::error_code error;
+  const auto count = socket_.read_some(boost::asio::buffer(scratch), error);
+  if (error == boost::asio::error::would_block) return WaitForInput();
+  if (error) return HandleEnd(error == boost::asio::error::eof);
+  if (!active_) {
+    // Bytes that belong to no request: the connection cannot be trusted.
+    return HandleEnd(false);
+  }
+  input_.append(scratch.data(), count);
+  ParseInput();
+  WaitForInput();
+}
+
+auto ClientConnection::ParseInput() -> void {
+  const auto self = shared_from_this();
+  while (active_ && !closed_ && !input_.empty()) {
+    boost::beast::error_code error;
+    const auto used = parser_->Feed(input_, error);
+    input_.erase(0, used);
+    if (parser_->is_header_done() && !head_done_ && !HeadRead()) return;
+    if (head_done_ && !parser_->Body().empty()) {
+      const auto body = parser_->TakeBody();
+      if (!skipping_) handlers_.on_body(body);
+      if (!active_ || closed_) return;
+    }
+    if (error) {
+      return Finish(head_done_ ? ExchangeEnd::kTruncated
+                               : ExchangeEnd::kProtocolError);
+    }
+    if (parser_->is_done()) {
+      Complete();
+    } else if (used == 0) {
+      return;
+    }
+  }
+}
+
+// Returns whether parsing may go on.
+auto ClientConnection::HeadRead() -> bool {
+  const auto& fields = parser_->Head().fields;
+  if (const auto timeout = KeepAliveTimeout(fields)) {
+    server_idle_timeout_ = timeout;
+  }
+  if (parser_->Head().status / 100 == 1) {
+    // An interim response; the final one follows.
+    StartParser();
+    return true;
+  }
+  head_done_ = true;
+  const auto verdict = handlers_.on_head(parser_->Head());
+  if (!active_ || closed_) return false;
+  if (verdict == HeadVerdict::kReject) {
+    Finish(ExchangeEnd::kProtocolError);
+    return false;
+  }
+  skipping_ = verdict == HeadVerdict::kSkip;
+  return true;
+}
+
+auto ClientConnection::Complete() -> void {
+  const bool keep = parser_->keep_alive();
+  if (skipping_) {
+    if (!keep) return Finish(ExchangeEnd::kNoResponse);
+    StartParser();
+    return;
+  }
+  reusable_ = keep && request_sent_ && input_.empty();
+  Finish(ExchangeEnd::kComplete);
+}
+
+auto ClientConnection::HandleEnd(bool clean) -> void {
+  if (!active_) {
+    auto lost = std::move(on_lost_);
+    Close();
+    if (lost) lost();
+    return;
+  }
+  if (!head_done_ || skipping_) return Finish(ExchangeEnd::kNoResponse);
+  if (clean && parser_->need_eof()) {
+    boost::beast::error_code error;
+    parser_->put_eof(error);
+    if (!error && parser_->is_done()) return Finish(ExchangeEnd::kComplete);
+  }
+  Finish(ExchangeEnd::kTruncated);
+}
+
+auto ClientConnection::Finish(ExchangeEnd end) -> void {
+  if (!active_) return;
+  active_ = false;
+  if (end != ExchangeEnd::kComplete || !reusable_) Close();
+  const auto handlers = std::move(handlers_);
+  handlers_ = {};
+  request_.shrink_to_fit();
+  handlers.on_end(end);
+}
+
+auto ClientConnection::WatchIdle(std::function<void()> on_lost) -> void {
+  on_lost_ = std::move(on_lost);
+  WaitForInput();
+}
+
+auto ClientConnection::Cancel() -> void {
+  active_ = false;
+  handlers_ = {};
+  on_lost_ = nullptr;
+  Close();
+}
+
+auto ClientConnection::Close() -> void {
+  if (closed_) return;
+  closed_ = true;
+  reusable_ = false;
+  boost::system::error_code ignored;  // The descriptor is released anyway.
+  socket_.close(ignored);
+}
+
+}  // namespace dotterellug::eventhttp
--- /dev/null
+++ b/modules/eventhttp/client/client_connection.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/core.h"
+#include "eventhttp/message/head.h"
+#include "eventhttp/message/message_parser.h"
+
+namespace dotterellug::eventhttp {
+
+// How an exchange on a client connection ended.
+enum class ExchangeEnd {
+  kComplete,       // the whole response was read
+  kNotSent,        // no connection; nothing of the request was sent
+  kNoResponse,     // the connection broke before a response head
+  kTruncated,      // the connection broke within the response
+  kProtocolError,  // the peer sent something that is no response
+};
+
+// What to do with a response head.
+enum class HeadVerdict {
+  kAccept,
+  kSkip,    // it answers another request; the next one may be ours
+  kReject,  // ends the exchange as kProtocolError
+};
+
+// Callbacks of one exchange. on_end is called exactly once unless the exchange
+// is cancelled.
+struct ExchangeHandlers {
+  std::function<HeadVerdict(ResponseHead&)> on_head;
+  std::function<void(std::string_view)> on_body;
+  std::function<void(ExchangeEnd)> on_end;
+};
+
+// A connection to a server that carries one exchange at a time. After a
+// complete exchange it can be kept and used again; after any doubt it is
+// closed.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(boost::asio::io_context& loop, SocketAddress address);
+
+  // Sends `request`, head and body, and reads the response. Connects first if
+  // the connection is new. `expect_body` is false for HEAD.
+  auto Exchange(std::string request, ExchangeHandlers handlers,
+                bool expect_body = true) -> void;
+  // Closes the connection; no handler is called afterwards.
+  auto Cancel() -> void;
+  // Stops and continues reading the response, for slow receivers.
+  auto Pause() -> void { paused_ = true; }
+  auto Resume() -> void;
+
+  // Whether another exchange may follow.
+  auto Reusable() const -> bool { return reusable_ && !closed_; }
+  auto Used() const -> bool { return exchanges_ > 0; }
+  auto Address() const -> const SocketAddress& { return address_; }
+  // Watches an unused connection: whatever arrives on it, or its end, closes it
+  // and calls `on_lost`.
+  auto WatchIdle(std::function<void()> on_lost) -> void;
+  // How long the server keeps the connection without a request, if it said so.
+  auto ServerIdleTimeout() const -> std::optional<Duration> {
+    return server_idle_timeout_;
+  }
+
+ private:
+  auto Connect() -> void;
+  auto Send() -> void;
+  auto WaitForInput() -> void;
+  auto ReadInput() -> void;
+  auto HandleInput(std::string_view bytes) -> void;
+  auto ParseInput() -> void;
+  auto HeadRead() -> bool;
+  auto HandleEnd(bool clean) -> void;
+  auto Complete() -> void;
+  auto Finish(ExchangeEnd end) -> void;
+  auto Close() -> void;
+  auto StartParser() -> void;
+
+  boost::asio::ip::tcp::socket socket_;
+  SocketAddress address_;
+  std::string request_;
+  std::string input_;
+  std::optional<ResponseParser> parser_;
+  ExchangeHandlers handlers_;
+  std::function<void()> on_lost_;
+  std::optional<Duration> server_idle_timeout_;
+  int exchanges_ = 0;
+  bool connected_ = false;
+  bool closed_ = false;
+  bool active_ = false;
+  bool waiting_ = false;
+  bool paused_ = false;
+  bool request_sent_ = false;
+  bool expect_body_ = true;
+  bool head_done_ = false;
+  bool skipping_ = false;
+  bool reusable_ = false;
+};
+
+}  // namespace dotterellug::eventhttp
--- /dev/null
+++ b/modules/eventhttp/message/header_fields.cc
@@ -0,0 +1,61 @@
+#include "eventhttp/message/header_fields.h"
+
+#include <algorithm>
+#include <array>
+
+namespace dotterellug::eventhttp {
+namespace {
+
+auto Lower(char c) -> char {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+auto Trim(std::string_view text) -> std::string_view {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+constexpr std::array<std::string_view, 11> kHopByHop{
+    "connection",       "keep-alive", "proxy-authenticate",
+    "proxy-connection", "te",         "proxy-authorization",
+    "trailer",          "upgrade",    "transfer-encoding",
+    "content-length",   "expect"};
+
+}  // namespace
+
+auto SameFieldName(std::string_view a, std::string_view b) -> bool {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](char x, char y) { return Lower(x) == Lower(y); });
+}
+
+auto FindField(const HeaderFields& fields, std::string_view name)
+    -> const std::string* {
+  for (const auto& field : fields) {
+    if (SameFieldName(field.name, name)) return &field.value;
+  }
+  return nullptr;
+}
+
+auto IsHopByHop(std::string_view name) -> bool {
+  return std::any_of(
+      kHopByHop.begin(), kHopByHop.end(),
+      [&](std::string_view hop) { return SameFieldName(hop, name); });
+}
+
+auto ListContains(std::string_view value, std::string_view token) -> bool {
+  while (!value.empty()) {
+    const auto comma = value.find(',');
+    if (SameFieldName(Trim(value.substr(0, comma)), token)) return true;
+    if (comma == std::string_view::npos) return false;
+    value.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+}  // namespace dotterellug::eventhttp
--- /dev/null
+++ b/modules/eventhttp/message/message_parser.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "eventhttp/message/head.h"
+
+namespace dotterellug::eventhttp {
+
+// Parses one request or response piece by piece. Body bytes, without chunk
+// framing, are collected until TakeBody.
+template <bool kIsRequest>
+class MessageParser : public boost::beast::http::basic_parser<kIsRequest> {
+ public:
+  using Base = boost::beast::http::basic_parser<kIsRequest>;
+  using Error = boost::beast::error_code;
+
+  MessageParser() { this->eager(true); }
+
+  // Consumes what it can of `input` and returns the number of bytes used. The
+  // rest is to be passed again with more bytes behind it. After an error the
+  // message cannot be continued.
+  auto Feed(std::string_view input, Error& error) -> std::size_t {
+    std::size_t used = 0;
+    while (used < input.size() && !this->is_done()) {
+      const auto rest = input.substr(used);
+      const auto consumed =
+          this->put(boost::asio::buffer(rest.data(), rest.size()), error);
+      used += consumed;
+      if (error == boost::beast::http::error::need_more) {
+        error = {};
+        break;
+      }
+      if (error || consumed == 0) break;
+    }
+    return used;
+  }
+
+  // The head, complete when is_header_done() is true.
+  auto Head() -> std::conditional_t<kIsRequest, RequestHead, ResponseHead>& {
+    return head_;
+  }
+  // The body bytes since the last call.
+  auto TakeBody() -> std::string { return std::move(body_); }
+  auto Body() const -> const std::string& { return body_; }
+  auto ClearBody() -> void { body_.clear(); }
+
+ private:
+  using View = boost::beast::string_view;
+
+  static auto Text(View view) -> std::string {
+    return {view.data(), view.size()};
+  }
+
+  auto on_request_impl(boost::beast::http::verb, View method, View target, int,
+                       Error&) -> void override {
+    if constexpr (kIsRequest) {
+      head_.method = Text(method);
+      head_.target = Text(target);
+    }
+  }
+  auto on_response_impl(int status, View, int, Error&) -> void override {
+    if constexpr (!kIsRequest) head_.status = status;
+  }
+  auto on_field_impl(boost::beast::http::field, View name, View value, Error&)
+      -> void override {
+    head_.fields.push_back({Text(name), Text(value)});
+  }
+  auto on_header_impl(Error&) -> void override {
+    head_.keep_alive = this->keep_alive();
+  }
+  auto on_body_init_impl(const boost::optional<std::uint64_t>&, Error&)
+      -> void override {}
+  auto on_body_impl(View piece, Error&) -> std::size_t override {
+    body_.append(piece.data(), piece.size());
+    return piece.size();
+  }
+  auto on_chunk_header_impl(std::uint64_t, View, Error&) -> void override {}
+  auto on_chunk_body_impl(std::uint64_t, View piece, Error&)
+      -> std::size_t override {
+    body_.append(piece.data(), piece.size());
+    return piece.size();
+  }
+  auto on_finish_impl(Error&) -> void override {}
+
+  std::conditional_t<kIsRequest, RequestHead, ResponseHead> head_;
+  std::string body_;
+};
+
+using RequestParser = MessageParser<true>;
+using ResponseParser = MessageParser<false>;
+
+}  // namespace dotterellug::eventhttp
--- /dev/null
+++ b/modules/eventhttp/message/status_text.cc
@@ -0,0 +1,17 @@
+#include "eventhttp/message/status_text.h"
+
+// status.hpp needs the complete stream type.
+#include <ostream>
+
+#include <boost/beast/http/status.hpp>
+
+namespace dotterellug::eventhttp {
+
+auto StatusText(int status) -> std::string_view {
+  const auto text = boost::beast::http::obsolete_reason(
+      static_cast<boost::beast::http::status>(status));
+  if (text.empty()) return "Status";
+  return {text.data(), text.size()};
+}
+
+}  // namespace dotterellug::eventhttp
--- /dev/null
+++ b/modules/eventhttp/server/http_server.cc
@@ -0,0 +1,95 @@
+#include "eventhttp/server/http_server.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <utility>
+#include <vector>
+
+#include "eventhttp/message/socket_options.h"
+#include "eventhttp/server/server_session.h"
+
+namespace dotterellug::eventhttp {
+namespace {
+
+// Connections that the kernel completes before they are accepted.
+constexpr int kBacklog = 1024;
+// How often timeouts of sessions are checked; they may end that much later.
+constexpr auto kSweepInterval = std::chrono::milliseconds(250);
+// Pause after a failed accept, for example without free descriptors.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+
+}  // namespace
+
+HttpServer::HttpServer(boost::asio::io_context& loop, Handler handler)
+    : loop_(loop),
+      acceptor_(loop),
+      sweep_timer_(loop),
+      handler_(std::move(handler)) {}
+
+HttpServer::~HttpServer() = default;
+
+auto HttpServer::Listen(const SocketAddress& address) -> Result<SocketAddress> {
+  namespace ip = boost::asio::ip;
+  boost::system::error_code error;
+  const ip::tcp::endpoint endpoint(ip::make_address(address.host, error),
+                                   address.port);
+  if (!error) acceptor_.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(kBacklog, error);
+  if (error) {
+    return Fail(ErrorKind::kUnavailable,
+                "cannot listen on " + address.Text() + ": " + error.message(),
+                "use an address of this machine and a free port");
+  }
+  Accept();
+  Sweep();
+  return SocketAddress{address.host, acceptor_.local_endpoint().port()};
+}
+
+auto HttpServer::StopAccepting() -> void {
+  boost::system::error_code ignored;  // The descriptor is released in any case.
+  acceptor_.close(ignored);
+  const std::vector<std::shared_ptr<ServerSession>> sessions(sessions_.begin(),
+                                                             sessions_.end());
+  for (const auto& session : sessions) session->CloseIfIdle();
+}
+
+auto HttpServer::BusySessions() const -> std::size_t {
+  std::size_t busy = 0;
+  for (const auto& session : sessions_) busy += session->Busy() ? 1 : 0;
+  return busy;
+}
+
+auto HttpServer::Accept() -> void {
+  acceptor_.async_accept([this](boost::system::error_code error,
+                                boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) {
+      auto pause = std::make_shared<boost::asio::steady_timer>(loop_);
+      pause->expires_after(kAcceptPause);
+      pause->async_wait([this, pause](boost::system::error_code) { Accept(); });
+      return;
+    }
+    ApplySocketOptions(socket, kCallerSocketTimeouts);
+    auto session = std::make_shared<ServerSession>(*this, std::move(socket));
+    sessions_.insert(session);
+    session->Start();
+    Accept();
+  });
+}
+
+auto HttpServer::Sweep() -> void {
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    const auto now = MonotonicNow();
+    const std::vector<std::shared_ptr<ServerSession>> sessions(
+        sessions_.begin(), sessions_.end());
+    for (const auto& session : sessions) session->CheckTimeouts(now);
+    Sweep();
+  });
+}
+
+}  // namespace dotterellug::eventhttp
--- /dev/null
+++ b/modules/eventhttp/server/server_session.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/core.h"
+#include "eventhttp/message/head.h"
+#include "eventhttp/message/message_parser.h"
+#include "eventhttp/server/http_server.h"
+
+namespace dotterellug::eventhttp {
+
+// One connection of a client. It reads one request after the other and answers
+// each before it takes up the next. While a request is being answered the
+// connection is read on, so that a client that leaves is noticed at once.
+class ServerSession : public std::enable_shared_from_this<ServerSession> {
+ public:
+  ServerSession(HttpServer& server, boost::asio::ip::tcp::socket socket);
+
+  auto Start() -> void;
+
+  // Answers the current request with a complete body.
+  auto Respond(int status, const HeaderFields& fields, std::string_view body)
+      -> void;
+  // Begins a response whose body follows in pieces; with a length the pieces
+  // must add up to it, without one they are sent as chunks.
+  auto BeginStream(int status, const HeaderFields& fields,
+                   std::optional<std::uint64_t> length) -> void;
+  auto SendPiece(std::string_view piece) -> void;
+  auto EndStream() -> void;
+  // Closes the connection, which shows the client that its response is not
+  // complete.
+  auto Abort() -> void;
+
+  // Called once when the client leaves while its request is being answered.
+  auto OnGone(std::function<void()> handler) -> void {
+    on_gone_ = std::move(handler);
+  }
+  // Called when bytes that waited to be sent have been handed to the kernel.
+  auto OnDrained(std::function<void()> handler) -> void {
+    on_drained_ = std::move(handler);
+  }
+  // Bytes of the response that the kernel has not taken yet.
+  auto UnsentBytes() const -> std::size_t {
+    return output_.size() + writing_.size() - written_;
+  }
+
+  auto Busy() const -> bool {
+    return state_ == State::kAnswering || state_ == State::kReading ||
+           UnsentBytes() > 0;
+  }
+  auto CloseIfIdle() -> void;
+  auto CheckTimeouts(Timestamp now) -> void;
+
+ private:
+  enum class State {
+    kIdle,       // no byte of the next request
+    kReading,    // part of a request was read
+    kAnswering,  // the handler has the request
+    kLingering,  // the last response is sent; waits for the client to close
+    kClosed,
+  };
+
+  auto WaitForInput() -> void;
+  auto ReadInput() -> void;
+  auto HandleEnd() -> void;
+  auto ParseInput() -> void;
+  auto RejectInput(boost::beast::error_code error) -> void;
+  auto AnswerEnded() -> void;
+  auto AppendHead(int status, const HeaderFields& fields) -> void;
+  auto Flush() -> void;
+  auto OutputSent() -> void;
+  auto Close() -> void;
+
+  HttpServer& server_;
+  boost::asio::ip::tcp::socket socket_;
+  State state_ = State::kIdle;
+  Timestamp state_since_;
+  std::string input_;
+  std::optional<RequestParser> parser_;
+  bool waiting_ = false;
+  bool continue_sent_ = false;
+  bool head_request_ = false;
+  bool close_after_ = false;
+  bool chunked_ = false;
+  std::string output_;
+  std::string writing_;
+  std::size_t written_ = 0;
+  bool write_pending_ = false;
+  std::function<void()> on_gone_;
+  std::function<void()> on_drained_;
+};
+
+}  // namespace dotterellug::eventhttp
--- /dev/null
+++ b/modules/fleet/allowance/allowance_holder.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/core.h"
+#include "fleet/messages/fleet_messages.h"
+
+namespace dotterellug::fleet {
+
+struct AllowanceHolderOptions {
+  // Tokens are held ready for what is used in this time.
+  Duration ready = std::chrono::milliseconds(300);
+  // Tokens held ready and not used for this long are given up, so that they do
+  // not add to a later burst.
+  Duration keep = std::chrono::milliseconds(1500);
+};
+
+// The tokens of the accounts' limits that this daemon holds. They were deducted
+// at a hub before they came here, so spending them needs no message and stays
+// within the limit whatever happens to the hub.
+class AllowanceHolder {
+ public:
+  explicit AllowanceHolder(AllowanceHolderOptions options = {})
+      : options_(options) {}
+
+  // Spends tokens; false when there are too few.
+  auto TrySpend(const ClientAccountId& account, std::int64_t tokens,
+                Timestamp now) -> bool;
+  // Gives tokens back whose request did not reach an upstream.
+  auto Refund(const ClientAccountId& account, std::int64_t tokens) -> void;
+  // Notes tokens that a waiting request needs.
+  auto Need(const ClientAccountId& account, std::int64_t tokens) -> void;
+  // What to ask the hub for now.
+  auto TakeWants(Timestamp now) -> std::vector<AllowanceWant>;
+  // Whether a request waits for tokens that were not asked for yet.
+  auto Urgent() const -> bool { return urgent_; }
+  auto OnGrant(const AllowanceGrant& grant, Timestamp now) -> void;
+  // While a hub has said that the account's tokens are used up: the time until
+  // `tokens` are expected.
+  auto ExhaustedFor(const ClientAccountId& account, Timestamp now) const
+      -> std::optional<Duration>;
+  auto Held(const ClientAccountId& account) const -> std::int64_t;
+
+ private:
+  struct Account {
+    std::int64_t held = 0;
+    std::int64_t needed = 0;
+    double spent_per_second = 0;
+    std::int64_t largest = 0;
+    Timestamp rate_at{};
+    Timestamp used_at{};
+    Timestamp exhausted_until{};
+  };
+
+  auto DecayRate(Account& account, Timestamp now) const -> void;
+
+  AllowanceHolderOptions options_;
+  std::map<ClientAccountId, Account> accounts_;
+  bool urgent_ = false;
+};
+
+}  // namespace dotterellug::fleet
--- /dev/null
+++ b/modules/fleet/hub/fleet_hub.cc
@@ -0,0 +1,166 @@
+#include "fleet/hub/fleet_hub.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dotterellug::fleet {
+namespace {
+
+// Time constant of the demand rates: follows a jump within seconds, and does
+// not follow single requests.
+constexpr double kDemandSeconds = 2.0;
+// Reports of daemons that ended long ago are forgotten.
+constexpr auto kForgetAfter = std::chrono::seconds(60);
+constexpr std::size_t kMostMissing = 64;
+
+}  // namespace
+
+auto FleetHub::Reporting(Timestamp now) const -> std::int64_t {
+  return std::count_if(sources_.begin(), sources_.end(), [&](const auto& pair) {
+    return now - pair.second.at <= options_.report_lifetime;
+  });
+}
+
+auto FleetHub::OnReport(const FleetReport& report, Timestamp now)
+    -> FleetSummary {
+  FleetSummary summary;
+  summary.sequence = report.sequence;
+  const auto found = sources_.find(report.from);
+  const auto* before = found == sources_.end() ? nullptr : &found->second;
+  const bool restarted =
+      before != nullptr && before->report.incarnation != report.incarnation;
+  const bool old = before != nullptr && !restarted &&
+                   report.sequence <= before->report.sequence;
+  if (!old) {
+    CountDemand(report, restarted ? nullptr : before, now);
+    for (const auto& adapter : report.missing) {
+      if (missing_.size() < kMostMissing) missing_.push_back(adapter);
+    }
+    auto stored = report;
+    stored.wants.clear();
+    sources_[report.from] = Source{now, std::move(stored)};
+  }
+  UpdateShare(now);
+  // An old report is a duplicate or was overtaken; its wants were answered or
+  // asked again.
+  if (!old) {
+    for (const auto& want : report.wants) {
+      summary.grants.push_back(Grant(want, now));
+    }
+  }
+  std::map<UpstreamId, UpstreamUse> others;
+  for (const auto& [daemon, source] : sources_) {
+    if (daemon == report.from) continue;
+    if (now - source.at > options_.report_lifetime) continue;
+    for (const auto& use : source.report.upstreams) {
+      auto& sum = others[use.upstream];
+      sum.upstream = use.upstream;
+      sum.requests += use.requests;
+      sum.tokens += use.tokens;
+    }
+  }
+  for (auto& [upstream, use] : others) summary.others.push_back(use);
+  return summary;
+}
+
+auto FleetHub::UpdateShare(Timestamp now) -> void {
+  for (auto source = sources_.begin(); source != sources_.end();) {
+    const bool forget = now - source->second.at > kForgetAfter;
+    source = forget ? sources_.erase(source) : std::next(source);
+  }
+  const auto reporting = Reporting(now);
+  const auto all = std::max({registered_, reporting, std::int64_t{1}});
+  const PartsPerMillion share(kWhole.Value() * reporting / all);
+  if (share == share_) return;
+  share_ = share;
+  for (auto& [account, bucket] : buckets_) {
+    bucket.ChangeShare(share_, MicroTokens(0), now);
+  }
+}
+
+auto FleetHub::Bucket(const ClientAccountId& account, RateLimit limit,
+                      Timestamp now) -> TokenBucket& {
+  limit.burst = Tokens(static_cast<std::int64_t>(
+      options_.burst_part * static_cast<double>(limit.burst.Value())));
+  const auto [entry, added] =
+      buckets_.try_emplace(account, TokenBucket(limit, now));
+  auto& bucket = entry->second;
+  if (added) bucket.ChangeShare(share_, MicroTokens(0), now);
+  const auto current = bucket.Limit();
+  if (current.per_second != limit.per_second || current.burst != limit.burst) {
+    bucket.ChangeLimit(limit, now);
+  }
+  return bucket;
+}
+
+auto FleetHub::Grant(const AllowanceWant& want, Timestamp now)
+    -> AllowanceGrant {
+  AllowanceGrant grant{want.account, 0, Duration(0)};
+  const auto limit = limit_of_(want.account);
+  if (!limit) {
+    grant.tokens = want.tokens;
+    return grant;
+  }
+  auto& bucket = Bucket(want.account, *limit, now);
+  const auto available =
+      std::max<std::int64_t>(bucket.Available(now).Value(), 0) /
+      kMicroTokensPerToken;
+  const auto wanted = std::min(want.tokens, available);
+  grant.tokens = bucket.Give(Tokens(wanted), now).Value();
+  const auto lacking = want.tokens - grant.tokens;
+  const auto rate = static_cast<double>(limit->per_second.Value()) *
+                    static_cast<double>(share_.Value()) /
+                    static_cast<double>(kWhole.Value());
+  if (lacking > 0) {
+    grant.wait = FromSeconds(
+        std::min(60.0, static_cast<double>(lacking) / std::max(rate, 1.0)));
+  }
+  return grant;
+}
+
+auto FleetHub::Decay(const Rate& rate, Timestamp now) const -> double {
+  return std::exp(-ToSeconds(now - rate.at) / kDemandSeconds);
+}
+
+auto FleetHub::CountDemand(const FleetReport& report, const Source* before,
+                           Timestamp now) -> void {
+  std::map<ModelId, ModelUse> known;
+  if (before != nullptr) {
+    for (const auto& use : before->report.models) known[use.model] = use;
+  }
+  for (const auto& use : report.models) {
+    const auto requests = use.requests - known[use.model].requests;
+    const auto tokens = use.tokens - known[use.model].tokens;
+    // Counts of a daemon that did not report here before are of unknown age.
+    if (before == nullptr || requests <= 0) continue;
+    auto& rate = rates_[use.model];
+    const auto decay = Decay(rate, now);
+    rate.requests =
+        rate.requests * decay + static_cast<double>(requests) / kDemandSeconds;
+    rate.tokens =
+        rate.tokens * decay + static_cast<double>(tokens) / kDemandSeconds;
+    rate.at = now;
+  }
+}
+
+auto FleetHub::Demand(Timestamp now) const -> std::map<ModelId, ModelDemand> {
+  std::map<ModelId, ModelDemand> demand;
+  for (const auto& [model, rate] : rates_) {
+    const auto decay = Decay(rate, now);
+    demand[model] = {rate.requests * decay, rate.tokens * decay};
+  }
+  return demand;
+}
+
+auto FleetHub::TakeMissing() -> std::vector<MissingAdapter> {
+  return std::exchange(missing_, {});
+}
+
+auto FleetHub::LastReport(const InstanceId& daemon) const
+    -> std::optional<Timestamp> {
+  const auto found = sources_.find(daemon);
+  if (found == sources_.end()) return std::nullopt;
+  return found->second.at;
+}
+
+}  // namespace dotterellug::fleet
--- /dev/null
+++ b/modules/fleet/hub/fleet_hub.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "budget/budget.h"
+#include "core/core.h"
+#include "fleet/messages/fleet_messages.h"
+
+namespace dotterellug::fleet {
+
+struct FleetHubOptions {
+  // A daemon counts as reporting for this long after its last report. Shorter
+  // means less double counting when daemons change their hub, longer bridges
+  // lost datagrams.
+  Duration report_lifetime = std::chrono::milliseconds(900);
+  // Part of an account's burst that hubs hand out. The rest covers tokens that
+  // daemons hold ready, and a change of hub.
+  double burst_part = 0.7;
+};
+
+// One daemon's part as a hub: sums up the reports of those that chose it and
+// grants tokens of the accounts' limits. Its buckets refill at the part of each
+// limit that the reporting daemons are of all registered daemons.
+class FleetHub {
+ public:
+  // The limit of an account, or nothing if it has none.
+  using LimitOf =
+      std::function<std::optional<RateLimit>(const ClientAccountId&)>;
+
+  FleetHub(FleetHubOptions options, LimitOf limit_of)
+      : options_(options), limit_of_(std::move(limit_of)) {}
+
+  // Daemons that may be running, reporting here or not.
+  auto SetRegistered(std::int64_t daemons) -> void { registered_ = daemons; }
+  // Takes a report and answers it. `closing` and `leads` are filled in by the
+  // caller.
+  auto OnReport(const FleetReport& report, Timestamp now) -> FleetSummary;
+
+  // Daemons that report here.
+  auto Reporting(Timestamp now) const -> std::int64_t;
+  // Tokens per second asked of a model by all daemons that report here, over
+  // about the last `window`.
+  struct ModelDemand {
+    double requests_per_second = 0;
+    double tokens_per_second = 0;
+  };
+  auto Demand(Timestamp now) const -> std::map<ModelId, ModelDemand>;
+  // Adapters reported missing since the last call.
+  auto TakeMissing() -> std::vector<MissingAdapter>;
+  // When a daemon last reported here.
+  auto LastReport(const InstanceId& daemon) const -> std::optional<Timestamp>;
+
+ private:
+  struct Source {
+    Timestamp at;
+    FleetReport report;
+  };
+  // Exponentially weighted demand of one model.
+  struct Rate {
+    double requests = 0;
+    double tokens = 0;
+    Timestamp at;
+  };
+
+  auto UpdateShare(Timestamp now) -> void;
+  auto CountDemand(const FleetReport& report, const Source* before,
+                   Timestamp now) -> void;
+  auto Grant(const AllowanceWant& want, Timestamp now) -> AllowanceGrant;
+  auto Bucket(const ClientAccountId& account, RateLimit limit, Timestamp now)
+      -> TokenBucket&;
+  auto Decay(const Rate& rate, Timestamp now) const -> double;
+
+  FleetHubOptions options_;
+  LimitOf limit_of_;
+  std::int64_t registered_ = 1;
+  PartsPerMillion share_;
+  std::map<InstanceId, Source> sources_;
+  std::map<ClientAccountId, TokenBucket> buckets_;
+  std::map<ModelId, Rate> rates_;
+  std::vector<MissingAdapter> missing_;
+};
+
+}  // namespace dotterellug::fleet
--- /dev/null
+++ b/modules/fleet/messages/fleet_messages.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+
+namespace dotterellug::fleet {
+
+// Requests and tokens in flight at one upstream.
+struct UpstreamUse {
+  UpstreamId upstream;
+  std::int64_t requests = 0;
+  std::int64_t tokens = 0;
+};
+
+// What callers asked of one model since the sender started.
+struct ModelUse {
+  ModelId model;
+  std::int64_t requests = 0;
+  std::int64_t tokens = 0;
+};
+
+// Tokens of an account's limit that the sender would like to have.
+struct AllowanceWant {
+  ClientAccountId account;
+  std::int64_t tokens = 0;
+};
+
+// An adapter that callers asked for and no usable upstream holds.
+struct MissingAdapter {
+  ModelId model;
+  AdapterId adapter;
+};
+
+// A daemon's report to its hub. Uses are complete, so that a lost report is
+// made good by the next one; wants are not repeated by themselves.
+struct FleetReport {
+  InstanceId from;
+  Incarnation incarnation;
+  std::int64_t sequence = 0;
+  std::vector<UpstreamUse> upstreams;
+  std::vector<ModelUse> models;
+  std::vector<MissingAdapter> missing;
+  std::vector<AllowanceWant> wants;
+};
+
+struct AllowanceGrant {
+  ClientAccountId account;
+  std::int64_t tokens = 0;
+  // Time until what was not granted is expected to be available; 0 if all was.
+  Duration wait{0};
+};
+
+// A model that an engine is about to unload: nothing more is to be sent there.
+struct ClosingModel {
+  UpstreamId upstream;
+  ModelId model;
+};
+
+// The hub's answer to one report.
+struct FleetSummary {
+  InstanceId from;
+  // Sequence of the report that it answers.
+  std::int64_t sequence = 0;
+  // Whether the hub is the daemon that orders loads.
+  bool leads = false;
+  // Use by all daemons that report to the hub, without the receiver's own.
+  std::vector<UpstreamUse> others;
+  std::vector<AllowanceGrant> grants;
+  std::vector<ClosingModel> closing;
+};
+
+using FleetMessage = std::variant<FleetReport, FleetSummary>;
+
+}  // namespace dotterellug::fleet
--- /dev/null
+++ b/modules/serving/dispatch/upstream_choice.cc
@@ -0,0 +1,82 @@
+#include "serving/dispatch/upstream_choice.h"
+
+#include <algorithm>
+
+namespace dotterellug::serving {
+namespace {
+
+// Cost that a failing upstream is given per part of failed attempts.
+constexpr double kFailureCost = 3.0;
+// Cost of leaving the zone: breaks ties between upstreams that are equally
+// loaded, since bytes between zones are paid for.
+constexpr double kZoneCost = 0.03;
+// Cost saved where the shared prompt parts were sent before.
+constexpr double kPromptBonus = 0.05;
+// Random part of the cost.
+constexpr double kJitter = 0.04;
+// Part of an engine's memory that requests of known size may fill.
+constexpr double kMemoryPart = 0.95;
+
+}  // namespace
+
+auto UpstreamChoice::Cost(const LiveUpstream& upstream,
+                          const ChoiceRequest& request, const ChoicePool& pool)
+    -> double {
+  const auto slots =
+      static_cast<double>(std::max<std::int64_t>(upstream.record.slots, 1));
+  auto load = upstream.Requests() / slots;
+  if (pool.kv_tokens > 0) {
+    const auto memory =
+        (upstream.Tokens() + static_cast<double>(request.tokens)) /
+        (kMemoryPart * static_cast<double>(pool.kv_tokens));
+    load = std::max(load, memory);
+  }
+  auto cost = (load + 1 / slots) * std::max(upstream.Slowness(), 0.2);
+  cost += upstream.FailureRate() * kFailureCost;
+  if (upstream.record.zone != request.zone) cost += kZoneCost;
+  if (request.shared_prompt != 0) {
+    const auto weight =
+        Hash64(upstream.record.id.Value(), request.shared_prompt);
+    cost -= kPromptBonus * static_cast<double>(weight >> 11U) / (1LL << 53U);
+  }
+  return cost;
+}
+
+auto UpstreamChoice::Choose(const UpstreamTable& table,
+                            const ChoiceRequest& request,
+                            const ChoicePool& pool, const ColdGate& cold_gate,
+                            Random& random, Timestamp now) const
+    -> tl::expected<UpstreamTable::Entry, NoChoice> {
+  struct Candidate {
+    UpstreamTable::Entry entry;
+    double cost = 0;
+  };
+  std::vector<Candidate> candidates;
+  auto reason = NoChoice::kNoUpstream;
+  for (const auto& entry : table.OfPool(request.pool)) {
+    if (!table.Usable(*entry)) continue;
+    if (reason == NoChoice::kNoUpstream) reason = NoChoice::kNoModel;
+    if (!entry->Holds(request.model, request.adapter)) continue;
+    reason = NoChoice::kFull;
+    const auto& excluded = request.excluded;
+    if (std::find(excluded.begin(), excluded.end(), entry->record.id) !=
+        excluded.end()) {
+      continue;
+    }
+    const auto slots = static_cast<double>(entry->record.slots);
+    if (entry->Requests() >= slots * (1 + pool.queue_part)) continue;
+    auto cost = Cost(*entry, request, pool) + random.Uniform() * kJitter;
+    // Suspected upstreams come last, but before nothing at all.
+    if (entry->Suspected(now)) cost += 1000;
+    candidates.push_back({entry, cost});
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const auto& a, const auto& b) { return a.cost < b.cost; });
+  for (const auto& candidate : candidates) {
+    if (candidate.entry->Cold(now) && !cold_gate(*candidate.entry)) continue;
+    return candidate.entry;
+  }
+  return tl::unexpected(reason);
+}
+
+}  // namespace dotterellug::serving
--- /dev/null
+++ b/modules/serving/fleet/live_upstream.cc
@@ -0,0 +1,54 @@
+#include "serving/fleet/live_upstream.h"
+
+#include <algorithm>
+
+namespace dotterellug::serving {
+namespace {
+
+// Weight of the newest attempt in the failure rate and the pace.
+constexpr double kNewestWeight = 0.15;
+// An upstream that could not be reached so often in a row is left out.
+constexpr int kUnreachableLimit = 2;
+// First time for which it is left out; doubles up to the longest.
+constexpr auto kFirstSuspicion = std::chrono::milliseconds(500);
+constexpr int kMostDoublings = 2;
+
+}  // namespace
+
+auto LiveUpstream::Holds(const ModelId& model, const AdapterId& adapter) const
+    -> bool {
+  if (model.Empty()) return true;
+  for (const auto& held : record.models) {
+    if (held.id != model) continue;
+    return adapter.Empty() || held.adapters.count(adapter) > 0;
+  }
+  return false;
+}
+
+auto LiveUpstream::NoteSuccess(Timestamp) -> void {
+  failure_rate_ *= 1 - kNewestWeight;
+  unreachable_in_a_row_ = 0;
+  suspected_until_ = Timestamp{};
+}
+
+auto LiveUpstream::NoteFailure(Timestamp) -> void {
+  failure_rate_ += (1 - failure_rate_) * kNewestWeight;
+}
+
+auto LiveUpstream::NoteUnreachable(Timestamp now) -> void {
+  NoteFailure(now);
+  ++unreachable_in_a_row_;
+  const auto beyond = unreachable_in_a_row_ - kUnreachableLimit;
+  if (beyond < 0) return;
+  suspected_until_ =
+      now + kFirstSuspicion * (1 << std::min(beyond, kMostDoublings));
+}
+
+auto LiveUpstream::NotePace(Duration took, Duration expected) -> void {
+  if (expected <= Duration::zero()) return;
+  const auto ratio =
+      std::clamp(ToSeconds(took) / ToSeconds(expected), 0.1, 20.0);
+  slowness_ += (ratio - slowness_) * kNewestWeight;
+}
+
+}  // namespace dotterellug::serving
--- /dev/null
+++ b/modules/serving/fleet/live_upstream.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+
+namespace dotterellug::serving {
+
+// A model that an engine holds, with its adapters.
+struct HeldModel {
+  ModelId id;
+  std::int64_t version = 0;
+  std::set<AdapterId> adapters;
+};
+
+// What an upstream says about itself in the platform's list.
+struct UpstreamRecord {
+  UpstreamId id;
+  PoolId pool;
+  SocketAddress address;
+  AvailabilityZoneId zone;
+  std::int64_t slots = 1;
+  // Serves what it has and then ends; gets no new work.
+  bool leaving = false;
+  // How much longer it is cold, as of the moment the record was read.
+  Duration cold_left{0};
+  // Wall time of its start in milliseconds; tells two processes with the same
+  // id apart. 0 if not stated.
+  std::int64_t started_ms = 0;
+  // Number of orders it has accepted, as of the record.
+  std::int64_t command_sequence = 0;
+  std::vector<HeldModel> models;
+  // Models whose weights it can load without the weight store.
+  std::set<ModelId> in_memory;
+  std::set<ModelId> on_disk;
+};
+
+// Load of an upstream from all daemons but this one, as the fleet reports it.
+struct ForeignLoad {
+  double requests = 0;
+  double tokens = 0;
+};
+
+// An upstream as this daemon knows it: its record, what this daemon has in
+// flight there, and how it has answered lately.
+class LiveUpstream {
+ public:
+  explicit LiveUpstream(UpstreamRecord initial) : record(std::move(initial)) {}
+
+  UpstreamRecord record;
+  Timestamp cold_until{};
+  // Requests and tokens that this daemon has in flight.
+  std::int64_t requests = 0;
+  std::int64_t tokens = 0;
+  std::map<ModelId, std::int64_t> requests_by_model;
+  ForeignLoad foreign;
+
+  auto Holds(const ModelId& model, const AdapterId& adapter) const -> bool;
+  auto Requests() const -> double {
+    return static_cast<double>(requests) + foreign.requests;
+  }
+  auto Tokens() const -> double {
+    return static_cast<double>(tokens) + foreign.tokens;
+  }
+  auto Cold(Timestamp now) const -> bool { return now < cold_until; }
+
+  // An attempt ended: in time, or with a failure of the upstream's own.
+  auto NoteSuccess(Timestamp now) -> void;
+  auto NoteFailure(Timestamp now) -> void;
+  // No connection could be made, or one broke without an answer.
+  auto NoteUnreachable(Timestamp now) -> void;
+  // The first event or the answer took `took` where `expected` was expected.
+  auto NotePace(Duration took, Duration expected) -> void;
+
+  // Part of the recent attempts that failed, 0 to 1.
+  auto FailureRate() const -> double { return failure_rate_; }
+  // How much slower than expected it answers; 1 is as expected.
+  auto Slowness() const -> double { return slowness_; }
+  // Whether it is left out for now because it could not be reached.
+  auto Suspected(Timestamp now) const -> bool { return now < suspected_until_; }
+
+ private:
+  double failure_rate_ = 0;
+  double slowness_ = 1;
+  int unreachable_in_a_row_ = 0;
+  Timestamp suspected_until_{};
+};
+
+}  // namespace dotterellug::serving
--- /dev/null
+++ b/modules/serving/fleet/upstream_table.cc
@@ -0,0 +1,52 @@
+#include "serving/fleet/upstream_table.h"
+
+#include <algorithm>
+
+namespace dotterellug::serving {
+
+auto UpstreamTable::Upsert(const UpstreamRecord& record, Timestamp now)
+    -> void {
+  auto& entry = upstreams_[record.id];
+  const bool replaces = !entry ||
+                        entry->record.started_ms != record.started_ms ||
+                        entry->record.address != record.address ||
+                        entry->record.pool != record.pool;
+  if (replaces) {
+    if (entry) Unlist(entry);
+    entry = std::make_shared<LiveUpstream>(record);
+    by_pool_[record.pool].push_back(entry);
+  } else {
+    entry->record = record;
+  }
+  entry->cold_until = now + record.cold_left;
+}
+
+auto UpstreamTable::Remove(const UpstreamId& id) -> void {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  Unlist(found->second);
+  upstreams_.erase(found);
+}
+
+auto UpstreamTable::Unlist(const Entry& entry) -> void {
+  auto& pool = by_pool_[entry->record.pool];
+  pool.erase(std::remove(pool.begin(), pool.end(), entry), pool.end());
+}
+
+auto UpstreamTable::Find(const UpstreamId& id) const -> Entry {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? nullptr : found->second;
+}
+
+auto UpstreamTable::OfPool(const PoolId& pool) const
+    -> const std::vector<Entry>& {
+  static const std::vector<Entry> kNone;
+  const auto found = by_pool_.find(pool);
+  return found == by_pool_.end() ? kNone : found->second;
+}
+
+auto UpstreamTable::Usable(const LiveUpstream& upstream) const -> bool {
+  return !upstream.record.leaving && !ZoneOut(upstream.record.zone);
+}
+
+}  // namespace dotterellug::serving
--- /dev/null
+++ b/modules/serving/stream/event_splitter.cc
@@ -0,0 +1,62 @@
+#include "serving/stream/event_splitter.h"
+
+#include <charconv>
+
+namespace dotterellug::serving {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+auto ParseNumber(std::string_view text) -> std::optional<std::int64_t> {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == '\r') text.remove_suffix(1);
+  std::int64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+auto EventSplitter::Feed(std::string_view bytes) -> std::string {
+  pending_ += bytes;
+  auto end = pending_.rfind("\n\n");
+  auto length = std::size_t{2};
+  const auto carriage = pending_.rfind("\n\r\n");
+  if (carriage != std::string::npos &&
+      (end == std::string::npos || carriage > end)) {
+    end = carriage;
+    length = 3;
+  }
+  if (end == std::string::npos) return {};
+  auto whole = pending_.substr(0, end + length);
+  pending_.erase(0, end + length);
+  NoteEvents(whole);
+  return whole;
+}
+
+auto EventSplitter::NoteEvents(std::string_view events) -> void {
+  bool line_in_event = false;
+  while (!events.empty()) {
+    const auto end = events.find('\n');
+    const auto line = events.substr(0, end);
+    if (line.empty() || line == "\r") {
+      if (line_in_event) ++events_;
+      line_in_event = false;
+    } else {
+      line_in_event = true;
+      if (line.substr(0, kIdField.size()) == kIdField) {
+        if (const auto id = ParseNumber(line.substr(kIdField.size()))) {
+          last_event_ = id;
+        }
+      }
+    }
+    if (end == std::string_view::npos) return;
+    events.remove_prefix(end + 1);
+  }
+}
+
+}  // namespace dotterellug::serving
--- a/modules/telemetry/telemetry.h
+++ b/modules/telemetry/telemetry.h
@@ -4,6 +4,7 @@
 // line is written only for a change of state, never for a request, and never
 // contains a key or a prompt. Needs: core, prometheus-cpp, Boost.Log.
 
+#include "telemetry/events/event_log.h"
 #include "telemetry/logging/state_log.h"
 #include "telemetry/metrics/label_limit.h"
 #include "telemetry/metrics/metric_table.h"
