Read answers whose length Beast 1.74 rejected

Cause: with an absent body limit Beast 1.74 compares the length with an empty optional and reports body_limit for every answer with a length, so each list of the store looked broken. Ruled out: the store's side (a local server showed the same). The limit is now the largest number.

--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -32,7 +32,7 @@
   std::function<void(const std::set<UpstreamId>&)> on_upstreams_listed;
   std::function<void(std::set<AvailabilityZoneId>)> on_zones_out;
   std::function<void(std::vector<Member>)> on_members;
-  std::function<void(bool answered)> on_store_contact;
+  std::function<void(const Result<void>&)> on_store_contact;
   // Something from the platform could not be used; for the log.
   std::function<void(const Error&)> on_bad_entry;
 };
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -94,7 +94,9 @@
   };
   events.on_zones_out = [this](auto zones) { OnZonesOut(std::move(zones)); };
   events.on_members = [this](auto members) { OnMembers(std::move(members)); };
-  events.on_store_contact = [this](bool answered) { OnStoreContact(answered); };
+  events.on_store_contact = [this](const Result<void>& result) {
+    OnStoreContact(result);
+  };
   events.on_bad_entry = [this](const Error& error) {
     context_.metrics.Count("bad_entries", "kind", ErrorKindName(error.kind));
     context_.log.Write(EventRank::kFailure, "entry_skipped")
@@ -192,9 +194,9 @@
       {context_.settings.instance, context_.settings.peers, 0});
 }
 
-auto Gateway::OnStoreContact(bool answered) -> void {
+auto Gateway::OnStoreContact(const Result<void>& result) -> void {
   const auto now = MonotonicNow();
-  if (answered) {
+  if (result) {
     const bool away =
         store_silent_since_.has_value() && now - store_answered_ > kLapseAfter;
     if (away) store_returned_ = now;
@@ -209,6 +211,7 @@
   if (store_silent_since_) return;
   store_silent_since_ = now;
   context_.log.Write(EventRank::kState, "store_lost")
+      .Add("error", result.error().Text())
       .AddMs("since_answer_ms", now - store_answered_);
 }
 
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -46,7 +46,7 @@
   auto OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void;
   auto OnZonesOut(std::set<AvailabilityZoneId> zones) -> void;
   auto OnMembers(std::vector<Member> members) -> void;
-  auto OnStoreContact(bool answered) -> void;
+  auto OnStoreContact(const Result<void>& result) -> void;
   auto RemoveUpstream(const UpstreamId& id, const char* cause) -> void;
   auto Tick() -> void;
   auto RegisterSelf() -> void;
--- a/modules/eventhttp/client/client_connection.cc
+++ b/modules/eventhttp/client/client_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 #include "eventhttp/message/socket_options.h"
@@ -63,7 +64,8 @@
 auto ClientConnection::StartParser() -> void {
   parser_.emplace();
   parser_->header_limit(kHeaderLimit);
-  parser_->body_limit(boost::none);
+  // Beast 1.74 rejects every length when the limit is absent.
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (!expect_body_) parser_->skip(true);
   head_done_ = false;
   skipping_ = false;
