Order loads by one holder, know leader everywhere, grant tokens for waiting requests

Cause: requests for models that moved were refused or timed out (no orders existed), the holder of orders was unknown to the others, so it granted tokens only from its own ninth, and a partly covered need was never asked for again. Ruled out: the hub's rate (the account's limit had been lowered to 9,848 tokens/s by the configuration while it asked for about 18,000).

--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "placement/lease/order_lease.h"
 #include "serving/serving.h"
 
 namespace dotterellug::gateway {
@@ -37,15 +38,6 @@
   std::function<void(const Error&)> on_bad_entry;
 };
 
-// The record that says which daemon may order loads.
-struct LeaseRecord {
-  InstanceId holder;
-  std::int64_t fence = 0;
-  // Set by a holder that ended in order.
-  bool released = false;
-  std::int64_t revision = 0;
-};
-
 // An order to an engine to load or unload a model or one of its adapters.
 struct EngineOrder {
   UpstreamId upstream;
@@ -83,11 +75,12 @@
   std::function<void(const Member&)> register_member;
   std::function<void(const Member&)> remove_member;
   // nullopt means that there is none.
-  std::function<void(std::function<void(Result<std::optional<LeaseRecord>>)>)>
+  std::function<void(
+      std::function<void(Result<std::optional<OrderLeaseRecord>>)>)>
       read_lease;
   // Writes if the revision is still `record.revision`; 0 creates. The reply has
   // the new revision.
-  std::function<void(const LeaseRecord&,
+  std::function<void(const OrderLeaseRecord&,
                      std::function<void(Result<std::int64_t>)>)>
       write_lease;
   std::function<void(const EngineOrder&, std::function<void(OrderOutcome)>)>
--- a/daemon/gateway/dialect.h
+++ b/daemon/gateway/dialect.h
@@ -38,6 +38,8 @@
   bool not_run = false;
   // Another upstream has the address now.
   bool wrong_upstream = false;
+  // The upstream does not hold the model or the adapter.
+  bool model_missing = false;
   // Whether the answer is the upstream's own and not of something in between.
   bool has_receipt = false;
   std::optional<StatedLoad> load;
@@ -53,8 +55,8 @@
   std::function<std::string(const eventhttp::RequestHead&,
                             const std::string& body, const AttemptFields&)>
       encode_attempt;
-  std::function<UpstreamAnswer(const eventhttp::ResponseHead&,
-                               const RequestId&)>
+  std::function<UpstreamAnswer(const eventhttp::ResponseHead&, const RequestId&,
+                               const UpstreamId&)>
       decode_answer;
   // The fields of an upstream's response that the caller gets.
   std::function<eventhttp::HeaderFields(const eventhttp::ResponseHead&)>
--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -1,5 +1,6 @@
 #include "daemon/gateway/fleet_node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/variant/overloaded.h"
@@ -98,8 +99,9 @@
     -> fleet::FleetSummary {
   auto summary = hub_.OnReport(report, now);
   summary.from = context_.settings.instance;
-  summary.leads = leading_;
+  summary.leader = leading_ ? context_.settings.instance : leader_;
   summary.closing = closing_;
+  summary.opened = opened_;
   return summary;
 }
 
@@ -109,10 +111,8 @@
   for (const auto& grant : summary.grants) {
     context_.allowances.OnGrant(grant, now);
   }
-  if (summary.leads) {
-    leader_seen_ = now;
-    selector_.SetLeader(summary.from);
-  }
+  if (summary.leader == summary.from) leader_seen_ = now;
+  if (!summary.leader.Empty() && !leading_) SetLeader(summary.leader);
   for (const auto& [id, upstream] : context_.upstreams.All()) {
     upstream->foreign = {};
   }
@@ -126,7 +126,24 @@
   for (const auto& model : summary.closing) {
     context_.closing.insert({model.upstream, model.model});
   }
-  if (!summary.grants.empty()) RetryParked(now);
+  for (const auto& opened : summary.opened) NoteOpened(opened);
+  if (!summary.grants.empty() || !summary.opened.empty()) RetryParked(now);
+}
+
+// An engine's own entry shows a load only with its next sign of life.
+auto FleetNode::NoteOpened(const fleet::OpenedModel& opened) -> void {
+  const auto upstream = context_.upstreams.Find(opened.upstream);
+  if (!upstream) return;
+  context_.closing.erase({opened.upstream, opened.model});
+  auto& models = upstream->record.models;
+  auto held =
+      std::find_if(models.begin(), models.end(),
+                   [&](const auto& model) { return model.id == opened.model; });
+  if (held == models.end()) {
+    models.push_back({opened.model, 0, {}});
+    held = std::prev(models.end());
+  }
+  if (!opened.adapter.Empty()) held->adapters.insert(opened.adapter);
 }
 
 auto FleetNode::RetryParked(Timestamp now) -> void {
@@ -166,6 +183,7 @@
   }
   for (const auto& [model, use] : context_.demand) report.models.push_back(use);
   report.missing = std::exchange(context_.missing, {});
+  for (const auto& exchange : context_.parked) exchange->StateNeed();
   report.wants = context_.allowances.TakeWants(now);
   return report;
 }
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -24,6 +24,7 @@
   auto SetMembers(const std::vector<Member>& members) -> void;
   // The daemon that orders loads, as far as known.
   auto SetLeader(const InstanceId& leader) -> void {
+    leader_ = leader;
     selector_.SetLeader(leader);
   }
   // Whether this daemon orders loads now.
@@ -31,6 +32,9 @@
   auto SetClosing(std::vector<fleet::ClosingModel> closing) -> void {
     closing_ = std::move(closing);
   }
+  auto SetOpened(std::vector<fleet::OpenedModel> opened) -> void {
+    opened_ = std::move(opened);
+  }
   // Reports now instead of at the next interval.
   auto ReportNow() -> void;
 
@@ -50,6 +54,7 @@
   auto Answer(const fleet::FleetReport& report, Timestamp now)
       -> fleet::FleetSummary;
   auto OnSummary(const fleet::FleetSummary& summary, Timestamp now) -> void;
+  auto NoteOpened(const fleet::OpenedModel& opened) -> void;
   auto Send(const boost::asio::ip::udp::endpoint& to,
             const fleet::FleetMessage& message) -> void;
   auto RetryParked(Timestamp now) -> void;
@@ -64,10 +69,12 @@
   fleet::FleetHub hub_;
   fleet::HubSelector selector_;
   std::vector<fleet::ClosingModel> closing_;
+  std::vector<fleet::OpenedModel> opened_;
   std::int64_t sequence_ = 0;
   Timestamp reported_at_{};
   Timestamp leader_seen_{};
   bool report_soon_ = false;
+  InstanceId leader_;
   bool leading_ = false;
 };
 
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -10,6 +10,7 @@
 // How often parked requests are tried again and connections are tidied up.
 constexpr auto kTick = std::chrono::milliseconds(25);
 constexpr auto kIdleTick = std::chrono::milliseconds(100);
+constexpr auto kOrderInterval = std::chrono::milliseconds(90);
 constexpr auto kSweepInterval = std::chrono::seconds(1);
 constexpr auto kRegistrationRetry = std::chrono::milliseconds(700);
 // Entries of upstreams lapse after three missed signs of life, so a shorter
@@ -34,6 +35,7 @@
                       static_cast<std::uint64_t>(incarnation.Value()))),
       fleet_(context_, incarnation),
       link_(make_link(Events())),
+      orders_(context_, fleet_, link_),
       callers_(loop,
                [this](std::shared_ptr<eventhttp::ServerSession> session,
                       eventhttp::ServerRequest request) {
@@ -109,10 +111,15 @@
     -> void {
   const auto current = context_.catalog ? context_.catalog->version : -1;
   if (catalog->version <= current) return;
+  LogAccountChanges(*catalog);
   context_.catalog = std::move(catalog);
   const auto& limits = context_.catalog->limits;
   callers_.SetLimits({limits.header_bytes, limits.body_bytes,
                       limits.header_timeout, limits.idle_timeout});
+  const auto now = MonotonicNow();
+  for (const auto& [id, account] : context_.catalog->Accounts()) {
+    fleet_.Hub().Prepare(id, now);
+  }
   context_.metrics.Set("config_version",
                        static_cast<double>(context_.catalog->version));
   context_.log.Write(EventRank::kState, "config_in_force")
@@ -120,6 +127,25 @@
       .Add("before", current);
 }
 
+// Limits decide refusals, so each change of one has a line.
+auto Gateway::LogAccountChanges(const serving::ServingCatalog& catalog)
+    -> void {
+  for (const auto& [id, account] : catalog.Accounts()) {
+    const auto* before =
+        context_.catalog ? context_.catalog->FindAccount(id) : nullptr;
+    const auto& limit = account.limit;
+    if (before != nullptr && before->limit.per_second == limit.per_second &&
+        before->limit.burst == limit.burst) {
+      continue;
+    }
+    context_.log.Write(EventRank::kState, "account_limit")
+        .Add("account", id.Value())
+        .Add("per_second", limit.per_second)
+        .Add("burst", limit.burst)
+        .Add("config", catalog.version);
+  }
+}
+
 auto Gateway::OnUpstream(const serving::UpstreamRecord& record) -> void {
   lapsed_.erase(record.id);
   const auto known = context_.upstreams.Find(record.id);
@@ -251,6 +277,10 @@
       now - registration_tried_ > kRegistrationRetry) {
     RegisterSelf();
   }
+  if (now - ordered_at_ >= kOrderInterval) {
+    ordered_at_ = now;
+    orders_.Tick();
+  }
   if (draining_) FinishDrain();
   tick_.expires_after(context_.parked.empty() ? Duration(kIdleTick)
                                               : Duration(kTick));
@@ -264,6 +294,7 @@
   draining_ = true;
   drain_started_ = MonotonicNow();
   callers_.BeginDrain();
+  orders_.Stop();
   context_.log.Write(EventRank::kState, "stopping")
       .Add("open_requests", context_.open_requests);
 }
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "daemon/gateway/control_link.h"
 #include "daemon/gateway/fleet_node.h"
 #include "daemon/gateway/gateway_context.h"
+#include "daemon/gateway/order_desk.h"
 
 namespace dotterellug::gateway {
 
@@ -41,6 +42,7 @@
   auto Events() -> ControlEvents;
   auto OnCatalog(std::shared_ptr<const serving::ServingCatalog> catalog)
       -> void;
+  auto LogAccountChanges(const serving::ServingCatalog& catalog) -> void;
   auto OnUpstream(const serving::UpstreamRecord& record) -> void;
   auto OnUpstreamGone(const UpstreamId& id) -> void;
   auto OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void;
@@ -56,6 +58,7 @@
   GatewayContext context_;
   FleetNode fleet_;
   std::shared_ptr<ControlLink> link_;
+  OrderDesk orders_;
   eventhttp::HttpServer callers_;
   eventhttp::HttpServer readiness_;
   eventhttp::HttpServer metrics_;
@@ -70,6 +73,7 @@
   std::optional<Timestamp> drain_started_;
   Timestamp registration_tried_{};
   Timestamp swept_at_{};
+  Timestamp ordered_at_{};
   // The store's answers: since when it has been silent, and when it returned
   // from a silence in which entries may have lapsed.
   Timestamp store_answered_{};
--- /dev/null
+++ b/daemon/gateway/order_desk.cc
@@ -0,0 +1,492 @@
+#include "daemon/gateway/order_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterellug::gateway {
+namespace {
+
+// Without a sign of a holder for this long a daemon looks at the lease; those
+// further down the common order wait longer, so that one comes first.
+constexpr auto kContendAfter = std::chrono::milliseconds(700);
+constexpr auto kContendStep = std::chrono::milliseconds(150);
+constexpr std::size_t kMostContenders = 6;
+constexpr std::string_view kContendKey = "order-lease";
+constexpr auto kPlanInterval = std::chrono::milliseconds(200);
+// Reports of engines lag by some hundred milliseconds; one that is asked for
+// sooner after an order may not show it.
+constexpr auto kReportLag = std::chrono::milliseconds(300);
+constexpr auto kPollInterval = std::chrono::milliseconds(250);
+// A load or unload that shows no effect for this long beyond what it takes is
+// looked at anew.
+constexpr auto kOrderSlack = std::chrono::seconds(12);
+// Daemons stop sending to a model for this long before it is unloaded: two of
+// their reports.
+constexpr auto kClosingTime = std::chrono::milliseconds(350);
+// Loads from the weight store that may begin at once.
+constexpr double kStoreBurst = 2.0;
+// Part of the store's rate that is used.
+constexpr double kStorePart = 0.95;
+// Models opened lately are announced for this long: until the engine's own
+// entry shows them.
+constexpr auto kAnnounceTime = std::chrono::seconds(3);
+// A registered daemon that has not reported for this long has ended.
+constexpr auto kMemberSilence = std::chrono::seconds(15);
+
+auto AdapterNames(const serving::ServedModel& model) -> std::vector<AdapterId> {
+  std::vector<AdapterId> names;
+  for (int i = 1; i <= model.adapters; ++i) {
+    names.emplace_back("a" + std::to_string(i));
+  }
+  return names;
+}
+
+auto OutcomeName(OrderOutcome outcome) -> const char* {
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      return "accepted";
+    case OrderOutcome::kAlreadyHolds:
+      return "already_holds";
+    case OrderOutcome::kRefused:
+      return "refused";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kInvalid:
+      return "invalid";
+    case OrderOutcome::kWrongUpstream:
+      return "wrong_upstream";
+    case OrderOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+OrderDesk::OrderDesk(GatewayContext& context, FleetNode& fleet,
+                     std::shared_ptr<ControlLink> link)
+    : context_(context),
+      fleet_(fleet),
+      link_(std::move(link)),
+      lease_(context.settings.instance,
+             OrderLeaseTimes{context.settings.bounds.lease_ttl}),
+      started_at_(MonotonicNow()) {}
+
+auto OrderDesk::Tick() -> void {
+  if (stopped_ || !context_.catalog) return;
+  const auto now = MonotonicNow();
+  StepLease(now);
+  SetLeading(lease_.MayOrder(SuspendAwareNow()).has_value());
+  if (!leading_) return;
+  RefreshEngines(now);
+  if (now - planned_at_ >= kPlanInterval) {
+    planned_at_ = now;
+    Plan(now);
+  }
+  Publish(now);
+  RemoveSilentMembers(now);
+}
+
+auto OrderDesk::Stop() -> void {
+  stopped_ = true;
+  SetLeading(false);
+  if (const auto record = lease_.Release()) {
+    // Best effort: without it the next holder waits for the lease to lapse.
+    link_->write_lease(*record, [](const Result<std::int64_t>&) {});
+  }
+}
+
+auto OrderDesk::Contends(Timestamp now) const -> bool {
+  const auto& members = fleet_.Members();
+  const auto& self = context_.settings.instance;
+  if (members.count(self) == 0) return false;
+  const auto own = RendezvousWeight(kContendKey, self.Value());
+  std::size_t rank = 0;
+  for (const auto& [id, member] : members) {
+    if (RendezvousWeight(kContendKey, id.Value()) > own) ++rank;
+  }
+  if (rank >= kMostContenders) rank += kMostContenders;
+  const auto wait = kContendAfter + kContendStep * static_cast<int>(rank);
+  return now - std::max(fleet_.LeaderSeen(), started_at_) > wait;
+}
+
+auto OrderDesk::StepLease(Timestamp now) -> void {
+  switch (lease_.Next(Contends(now), SuspendAwareNow())) {
+    case OrderLease::Step::kNothing:
+      return;
+    case OrderLease::Step::kRead:
+      return link_->read_lease(
+          [this](const auto& result) { OnLeaseRead(result); });
+    case OrderLease::Step::kWrite:
+      return link_->write_lease(lease_.Proposal(), [this](const auto& result) {
+        OnLeaseWritten(result);
+      });
+  }
+}
+
+auto OrderDesk::OnLeaseRead(
+    const Result<std::optional<OrderLeaseRecord>>& result) -> void {
+  const auto now = SuspendAwareNow();
+  if (!result) {
+    context_.log.Write(EventRank::kState, "order_lease_read_failed")
+        .Add("error", result.error().Text());
+    return lease_.OnReadFailed(now);
+  }
+  const auto record = result->value_or(OrderLeaseRecord{});
+  if (!record.released && !leading_) fleet_.SetLeader(record.holder);
+  lease_.OnRead(record, now);
+}
+
+auto OrderDesk::OnLeaseWritten(const Result<std::int64_t>& result) -> void {
+  const auto now = SuspendAwareNow();
+  if (result) return lease_.OnWritten(*result, now);
+  context_.log.Write(EventRank::kState, "order_lease_write_failed")
+      .Add("error", result.error().Text());
+  if (result.error().kind == ErrorKind::kConflict) {
+    return lease_.OnConflict(now);
+  }
+  lease_.OnWriteFailed(now);
+}
+
+auto OrderDesk::SetLeading(bool leading) -> void {
+  if (leading == leading_) return;
+  leading_ = leading;
+  leading_since_ = MonotonicNow();
+  fleet_.SetLeading(leading);
+  if (leading) fleet_.SetLeader(context_.settings.instance);
+  if (!leading && lease_.Holder() == context_.settings.instance) {
+    fleet_.SetLeader(InstanceId());
+  }
+  // A new holder begins with what the engines say and without credit at the
+  // store, which the one before may have used.
+  engines_.clear();
+  opened_.clear();
+  closed_.clear();
+  store_credit_ = 0;
+  store_credit_at_ = leading_since_;
+  Publish(leading_since_);
+  context_.log
+      .Write(EventRank::kState,
+             leading ? "order_lease_held" : "order_lease_lost")
+      .Add("fence", lease_.MayOrder(SuspendAwareNow()).value_or(0));
+}
+
+auto OrderDesk::RefreshEngines(Timestamp now) -> void {
+  for (auto engine = engines_.begin(); engine != engines_.end();) {
+    const auto current = context_.upstreams.Find(engine->first);
+    const bool same = current == engine->second.upstream;
+    engine = same ? std::next(engine) : engines_.erase(engine);
+  }
+  for (const auto& [id, upstream] : context_.upstreams.All()) {
+    const auto* pool = context_.catalog->FindPool(upstream->record.pool);
+    if (pool == nullptr || !pool->engine) continue;
+    auto& engine = engines_[id];
+    if (!engine.upstream) {
+      // Until it is read, its own entry says what it holds.
+      for (const auto& model : upstream->record.models) {
+        engine.held[model.id] = model.adapters;
+      }
+    }
+    engine.upstream = upstream;
+    const bool polls =
+        engine.weight_order && now >= engine.weight_order->poll_at;
+    if ((!engine.known || polls) && !engine.reading && !engine.order_pending &&
+        now >= engine.read_after && !upstream->Suspected(now)) {
+      ReadEngine(engine, now);
+    }
+  }
+}
+
+auto OrderDesk::ReadEngine(Engine& engine, Timestamp now) -> void {
+  engine.reading = true;
+  engine.read_after = now + kPollInterval;
+  const auto& record = engine.upstream->record;
+  link_->read_engine(record.id, record.address,
+                     [this, id = record.id](const Result<EngineState>& state) {
+                       OnEngineRead(id, state);
+                     });
+}
+
+auto OrderDesk::OnEngineRead(const UpstreamId& id,
+                             const Result<EngineState>& state) -> void {
+  const auto found = engines_.find(id);
+  if (found == engines_.end()) return;
+  auto& engine = found->second;
+  engine.reading = false;
+  // An order that left meanwhile makes the report too old.
+  if (!state || engine.order_pending) return;
+  const auto now = MonotonicNow();
+  std::map<ModelId, std::set<AdapterId>> held;
+  for (const auto& model : state->models) held[model.id] = model.adapters;
+  if (engine.weight_order) {
+    auto& order = *engine.weight_order;
+    const bool present = held.count(order.model) > 0;
+    const bool done = present == order.load && !state->busy;
+    if (!done && now < order.give_up_at) {
+      order.poll_at = now + kPollInterval;
+      return;
+    }
+    if (done && order.load) {
+      opened_.push_back({now, {id, order.model, AdapterId()}});
+      closed_.erase({id, order.model});
+    }
+    if (done && !order.load) closed_[{id, order.model}] = now;
+    context_.log.Write(EventRank::kState, "order_done")
+        .Add("upstream", id.Value())
+        .Add("model", order.model.Value())
+        .Add("op", order.load ? "load" : "unload")
+        .Add("outcome", done ? "done" : "given_up");
+    engine.weight_order.reset();
+  } else if (state->busy) {
+    // An order of an earlier holder is under way.
+    return;
+  }
+  engine.sequence = state->sequence;
+  engine.held = std::move(held);
+  engine.known = true;
+}
+
+auto OrderDesk::StoreLoads(double per_second, Timestamp now) -> std::int64_t {
+  const auto seconds = ToSeconds(now - store_credit_at_);
+  store_credit_at_ = now;
+  store_credit_ =
+      std::min(kStoreBurst, store_credit_ + seconds * per_second * kStorePart);
+  return static_cast<std::int64_t>(store_credit_);
+}
+
+auto OrderDesk::Plan(Timestamp now) -> void {
+  // Demand that only a few daemons report would move copies wrongly.
+  const auto members = static_cast<std::int64_t>(fleet_.Members().size());
+  if (fleet_.Hub().Reporting(now) * 2 < members) return;
+  for (const auto& missing : fleet_.Hub().TakeMissing()) {
+    wanted_adapters_.insert({missing.model, missing.adapter});
+  }
+  for (const auto& [id, pool] : context_.catalog->Pools()) {
+    if (pool.engine) PlanPool(pool, now);
+  }
+  wanted_adapters_.clear();
+}
+
+auto OrderDesk::PlanPool(const serving::ServicePool& pool, Timestamp now)
+    -> void {
+  PlanCopies(pool, now);
+  PlanAdapterCopies(pool);
+}
+
+auto OrderDesk::PlanCopies(const serving::ServicePool& pool, Timestamp now)
+    -> void {
+  const auto& engines = *pool.engine;
+  const auto demand = fleet_.Hub().Demand(now);
+  CopyInput input;
+  for (const auto& model : engines.models) {
+    const auto found = demand.find(model.id);
+    input.models.push_back(
+        {model.id, model.weight_mb,
+         found == demand.end() ? 0 : found->second.tokens_per_second});
+  }
+  for (const auto& [id, engine] : engines_) {
+    const auto& record = engine.upstream->record;
+    if (record.pool != pool.id) continue;
+    CopyEngine copy;
+    copy.id = id;
+    copy.zone = record.zone;
+    copy.usable = context_.upstreams.Usable(*engine.upstream);
+    copy.busy = !engine.known || engine.order_pending || engine.weight_order ||
+                engine.closing;
+    copy.capacity_mb = engines.weight_mb;
+    for (const auto& [model, adapters] : engine.held) {
+      if (engine.closing != model) copy.models.insert(model);
+      for (const auto& spec : engines.models) {
+        if (spec.id != model) continue;
+        copy.adapter_mb +=
+            spec.adapter_mb * static_cast<double>(adapters.size());
+      }
+    }
+    // Room for adapters that are still to come.
+    for (const auto& spec : engines.models) {
+      copy.adapter_mb = std::max(
+          copy.adapter_mb,
+          spec.adapter_mb * static_cast<double>(engines.adapter_slots));
+    }
+    if (engine.weight_order) {
+      const auto& order = *engine.weight_order;
+      if (order.load) {
+        copy.models.insert(order.model);
+      } else {
+        copy.models.erase(order.model);
+      }
+    }
+    copy.near = record.in_memory;
+    copy.near.insert(record.on_disk.begin(), record.on_disk.end());
+    input.engines.push_back(std::move(copy));
+  }
+  input.store_loads = StoreLoads(engines.store_loads_per_second, now);
+  for (const auto& step : planner_.Plan(input)) Apply(step, engines, now);
+  // Models whose time of closing is over are unloaded.
+  for (auto& [id, engine] : engines_) {
+    if (!engine.closing || engine.order_pending || now < engine.closed_at) {
+      continue;
+    }
+    const auto model = *engine.closing;
+    SendOrder(engine, false, model, AdapterId(), kPollInterval);
+  }
+}
+
+auto OrderDesk::Apply(const CopyStep& step, const serving::EngineClass& engines,
+                      Timestamp now) -> void {
+  auto& engine = engines_[step.engine];
+  if (step.kind == CopyStepKind::kUnload) {
+    engine.closing = step.model;
+    engine.closed_at = now + kClosingTime;
+    return;
+  }
+  if (step.from_store) store_credit_ -= 1;
+  Duration expected = std::chrono::seconds(1);
+  const auto& record = engine.upstream->record;
+  for (const auto& model : engines.models) {
+    if (model.id != step.model) continue;
+    expected = model.store_load;
+    if (record.on_disk.count(model.id) > 0) expected = model.disk_load;
+    if (record.in_memory.count(model.id) > 0) expected = model.memory_load;
+  }
+  SendOrder(engine, true, step.model, AdapterId(), expected);
+}
+
+auto OrderDesk::PlanAdapterCopies(const serving::ServicePool& pool) -> void {
+  const auto& engines = *pool.engine;
+  AdapterInput input;
+  const auto demand = fleet_.Hub().Demand(MonotonicNow());
+  for (const auto& model : engines.models) {
+    if (model.adapters > 0) input.adapters[model.id] = AdapterNames(model);
+    const auto found = demand.find(model.id);
+    if (found != demand.end()) {
+      input.demand[model.id] = found->second.tokens_per_second;
+    }
+  }
+  for (const auto& [id, engine] : engines_) {
+    if (engine.upstream->record.pool != pool.id || !engine.known) continue;
+    if (!context_.upstreams.Usable(*engine.upstream)) continue;
+    AdapterEngine adapters;
+    adapters.id = id;
+    adapters.available = !engine.order_pending;
+    adapters.slots = engines.adapter_slots;
+    adapters.held = engine.held;
+    if (engine.closing) {
+      // Its adapters take their slots until it is unloaded.
+      const auto closing = adapters.held.find(*engine.closing);
+      if (closing != adapters.held.end()) {
+        adapters.slots -= static_cast<std::int64_t>(closing->second.size());
+        adapters.held.erase(closing);
+      }
+    }
+    input.engines.push_back(std::move(adapters));
+  }
+  input.wanted = wanted_adapters_;
+  for (const auto& step : PlanAdapters(input)) {
+    auto& engine = engines_[step.engine];
+    SendOrder(engine, step.load, step.model, step.adapter, Duration(0));
+  }
+}
+
+auto OrderDesk::SendOrder(Engine& engine, bool load, const ModelId& model,
+                          const AdapterId& adapter, Duration expected) -> void {
+  const auto fence = lease_.MayOrder(SuspendAwareNow());
+  if (!fence || engine.order_pending) return;
+  engine.order_pending = true;
+  EngineOrder order;
+  order.upstream = engine.upstream->record.id;
+  order.address = engine.upstream->record.address;
+  order.load = load;
+  order.model = model;
+  order.adapter = adapter;
+  order.holder = context_.settings.instance;
+  order.fence = *fence;
+  order.expected_sequence = engine.sequence;
+  link_->send_order(order, [this, order, expected](OrderOutcome outcome) {
+    OnOrderReply(order, expected, outcome);
+  });
+}
+
+auto OrderDesk::OnOrderReply(const EngineOrder& order, Duration expected,
+                             OrderOutcome outcome) -> void {
+  context_.metrics.Count("orders", "outcome", OutcomeName(outcome));
+  context_.log.Write(EventRank::kState, "order")
+      .Add("upstream", order.upstream.Value())
+      .Add("op", order.load ? "load" : "unload")
+      .Add("model", order.model.Value())
+      .Add("adapter", order.adapter.Value())
+      .Add("fence", order.fence)
+      .Add("sequence", order.expected_sequence)
+      .Add("outcome", OutcomeName(outcome));
+  if (outcome == OrderOutcome::kFenced) lease_.OnFenced();
+  const auto found = engines_.find(order.upstream);
+  if (found == engines_.end() || !found->second.order_pending) return;
+  auto& engine = found->second;
+  const auto now = MonotonicNow();
+  engine.order_pending = false;
+  const bool weights = order.adapter.Empty();
+  if (weights && !order.load) engine.closing.reset();
+  if (outcome != OrderOutcome::kAccepted) {
+    // What the engine holds is read anew before anything else is ordered.
+    engine.known = false;
+    engine.read_after = now + kReportLag;
+    return;
+  }
+  ++engine.sequence;
+  if (weights) {
+    engine.known = false;
+    const auto poll_at = now + std::max<Duration>(expected, kReportLag);
+    engine.weight_order =
+        WeightOrder{order.load, order.model, poll_at, poll_at + kOrderSlack};
+    engine.read_after = poll_at;
+    return;
+  }
+  auto& adapters = engine.held[order.model];
+  if (order.load) {
+    adapters.insert(order.adapter);
+    opened_.push_back({now, {order.upstream, order.model, order.adapter}});
+    Publish(now);
+  } else {
+    adapters.erase(order.adapter);
+  }
+}
+
+auto OrderDesk::Publish(Timestamp now) -> void {
+  std::vector<fleet::ClosingModel> closing;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.closing) closing.push_back({id, *engine.closing});
+    const auto& order = engine.weight_order;
+    if (order && !order->load) closing.push_back({id, order->model});
+  }
+  for (auto closed = closed_.begin(); closed != closed_.end();) {
+    const bool old = now - closed->second > kAnnounceTime;
+    if (!old) closing.push_back({closed->first.first, closed->first.second});
+    closed = old ? closed_.erase(closed) : std::next(closed);
+  }
+  fleet_.SetClosing(std::move(closing));
+  opened_.erase(std::remove_if(opened_.begin(), opened_.end(),
+                               [&](const auto& entry) {
+                                 return now - entry.first > kAnnounceTime;
+                               }),
+                opened_.end());
+  std::vector<fleet::OpenedModel> opened;
+  for (const auto& [at, model] : opened_) opened.push_back(model);
+  fleet_.SetOpened(std::move(opened));
+}
+
+auto OrderDesk::RemoveSilentMembers(Timestamp now) -> void {
+  if (now - leading_since_ < kMemberSilence) return;
+  for (const auto& [id, member] : fleet_.Members()) {
+    if (id == context_.settings.instance) continue;
+    const auto last = fleet_.Hub().LastReport(id).value_or(leading_since_);
+    if (now - std::max(last, leading_since_) < kMemberSilence) continue;
+    context_.log.Write(EventRank::kState, "member_removed")
+        .Add("member", id.Value());
+    link_->remove_member(member);
+    // One at a time; the watch shows the removal before the next.
+    leading_since_ = now - kMemberSilence + std::chrono::seconds(1);
+    return;
+  }
+}
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/daemon/gateway/order_desk.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "daemon/gateway/control_link.h"
+#include "daemon/gateway/fleet_node.h"
+#include "daemon/gateway/gateway_context.h"
+#include "placement/copies/adapter_planner.h"
+#include "placement/copies/copy_planner.h"
+#include "placement/lease/order_lease.h"
+
+namespace dotterellug::gateway {
+
+// Holds or contends for the right to order loads, and while it holds it brings
+// the engines to what the planners decide. What an engine holds is read from
+// the engine itself, so a new holder needs nothing from the one before.
+class OrderDesk {
+ public:
+  OrderDesk(GatewayContext& context, FleetNode& fleet,
+            std::shared_ptr<ControlLink> link);
+
+  // Call about every 100 ms.
+  auto Tick() -> void;
+  // Gives the right up; for a planned stop.
+  auto Stop() -> void;
+  // An order was reported missing; plans at once.
+  auto Leading() const -> bool { return leading_; }
+
+ private:
+  // A weight order that the engine has accepted and not finished.
+  struct WeightOrder {
+    bool load = true;
+    ModelId model;
+    Timestamp poll_at;
+    Timestamp give_up_at;
+  };
+  // An engine as the holder of orders knows it.
+  struct Engine {
+    serving::UpstreamTable::Entry upstream;
+    // Whether `held` and `sequence` were read since anything was in doubt.
+    bool known = false;
+    bool reading = false;
+    Timestamp read_after{};
+    std::int64_t sequence = 0;
+    std::map<ModelId, std::set<AdapterId>> held;
+    bool order_pending = false;
+    std::optional<WeightOrder> weight_order;
+    // A model that daemons stop sending to before it is unloaded.
+    std::optional<ModelId> closing;
+    Timestamp closed_at{};
+  };
+
+  auto StepLease(Timestamp now) -> void;
+  auto Contends(Timestamp now) const -> bool;
+  auto OnLeaseRead(const Result<std::optional<OrderLeaseRecord>>& result)
+      -> void;
+  auto OnLeaseWritten(const Result<std::int64_t>& result) -> void;
+  auto SetLeading(bool leading) -> void;
+
+  auto RefreshEngines(Timestamp now) -> void;
+  auto ReadEngine(Engine& engine, Timestamp now) -> void;
+  auto OnEngineRead(const UpstreamId& id, const Result<EngineState>& state)
+      -> void;
+  auto Plan(Timestamp now) -> void;
+  auto PlanPool(const serving::ServicePool& pool, Timestamp now) -> void;
+  auto PlanCopies(const serving::ServicePool& pool, Timestamp now) -> void;
+  auto PlanAdapterCopies(const serving::ServicePool& pool) -> void;
+  auto Apply(const CopyStep& step, const serving::EngineClass& engines,
+             Timestamp now) -> void;
+  auto SendOrder(Engine& engine, bool load, const ModelId& model,
+                 const AdapterId& adapter, Duration expected) -> void;
+  auto OnOrderReply(const EngineOrder& order, Duration expected,
+                    OrderOutcome outcome) -> void;
+  auto StoreLoads(double per_second, Timestamp now) -> std::int64_t;
+  auto Publish(Timestamp now) -> void;
+  auto RemoveSilentMembers(Timestamp now) -> void;
+
+  GatewayContext& context_;
+  FleetNode& fleet_;
+  std::shared_ptr<ControlLink> link_;
+  OrderLease lease_;
+  CopyPlanner planner_;
+  bool leading_ = false;
+  bool stopped_ = false;
+  Timestamp started_at_;
+  Timestamp leading_since_{};
+  Timestamp planned_at_{};
+  std::map<UpstreamId, Engine> engines_;
+  // Loads from the weight store that may begin; refills at the store's rate.
+  double store_credit_ = 0;
+  Timestamp store_credit_at_{};
+  std::set<std::pair<ModelId, AdapterId>> wanted_adapters_;
+  std::vector<std::pair<Timestamp, fleet::OpenedModel>> opened_;
+  // Models unloaded lately, which the engines' own entries may still show.
+  std::map<std::pair<UpstreamId, ModelId>, Timestamp> closed_;
+};
+
+}  // namespace dotterellug::gateway
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -17,9 +17,14 @@
 constexpr auto kTokenWait = std::chrono::milliseconds(120);
 // Part of the caller's patience for which a request waits for an upstream that
 // can take it, such as one that is loading its model.
-constexpr double kUpstreamWaitPart = 0.3;
+constexpr double kUpstreamWaitPart = 0.6;
 // The same while the upstreams exist and are only full or cold.
-constexpr double kFullWaitPart = 0.12;
+constexpr double kFullWaitPart = 0.3;
+// Callers of streams leave when nothing arrives for the longest of this time,
+// these multiples of the goal and of the longest pause in time.
+constexpr auto kLeastPatience = std::chrono::seconds(2);
+constexpr int kPatienceGoals = 4;
+constexpr int kPatienceGaps = 8;
 // When a caller whose request found no upstream is asked to come back.
 constexpr auto kReturnAfter = std::chrono::milliseconds(1000);
 // Before the configuration is known.
@@ -155,7 +160,6 @@
   }
   const bool asked = waiting_ == Waiting::kTokens;
   if (!asked) {
-    context_.allowances.Need(account_, tokens);
     waits_for_ = "tokens";
     Park(Waiting::kTokens, std::min(now + kTokenWait, deadline_));
     context_.report_now();
@@ -184,6 +188,13 @@
   return !done_ && waiting_ != Waiting::kNothing;
 }
 
+auto RequestExchange::StateNeed() const -> void {
+  if (waiting_ != Waiting::kTokens) return;
+  const auto* account = catalog_->FindAccount(account_);
+  context_.allowances.Need(account_,
+                           serving::ChargedTokens(request_, account->limit));
+}
+
 auto RequestExchange::ChoosePool() -> const serving::ServicePool* {
   std::int64_t total = 0;
   for (const auto& part : route_->pools) total += part.weight;
@@ -247,12 +258,22 @@
   waits_for_ = ReasonName(reason);
   const auto part =
       reason == NoChoice::kFull ? kFullWaitPart : kUpstreamWaitPart;
-  const auto until = arrival_ + Part(deadline_ - arrival_, part);
+  const auto until = arrival_ + Part(FirstEventPatience(), part);
   if (now < until) return Park(Waiting::kUpstream, until);
   if (ran_ > 0) return Refuse(502, waits_for_, std::nullopt);
   Refuse(503, waits_for_, kReturnAfter);
 }
 
+// How long the caller waits for the first sign of an answer.
+auto RequestExchange::FirstEventPatience() const -> Duration {
+  const Duration whole = deadline_ - arrival_;
+  if (!Stream()) return whole;
+  const auto patience =
+      std::max({Duration(kLeastPatience), route_->goal * kPatienceGoals,
+                route_->event_gap * kPatienceGaps});
+  return std::min(whole, patience);
+}
+
 auto RequestExchange::Repeatable() const -> bool {
   return route_->kind == RequestKind::kIdempotent ||
          (Stream() && route_->resumable);
@@ -340,7 +361,8 @@
 }
 
 auto RequestExchange::OnHead(eventhttp::ResponseHead& head) -> HeadVerdict {
-  const auto answer = context_.dialect.decode_answer(head, request_.id);
+  const auto answer = context_.dialect.decode_answer(
+      head, request_.id, attempt_->upstream->record.id);
   auto& attempt = *attempt_;
   if (!answer.matches) {
     context_.log.Write(EventRank::kFailure, "answer_of_another_request")
@@ -426,10 +448,16 @@
   const auto status = attempt_->status;
   if (attempt_->discard) {
     const auto not_run = attempt_->answer.not_run;
-    const auto wrong = attempt_->answer.wrong_upstream;
+    const auto* cause = not_run ? "upstream_full" : "upstream_error";
+    if (attempt_->answer.wrong_upstream) {
+      cause = "wrong_upstream";
+      attempt_->upstream->NoteReplaced();
+    }
+    if (attempt_->answer.model_missing) {
+      cause = "model_missing";
+      attempt_->upstream->NoteMissing(request_.model, request_.adapter);
+    }
     CloseAttempt();
-    const auto* cause = not_run ? (wrong ? "wrong_upstream" : "upstream_full")
-                                : "upstream_error";
     if (TryAgain(cause, now)) return;
     if (answering_) {
       session_->Abort();
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -26,6 +26,8 @@
   auto Start() -> void;
   // Tries again to go on with a parked request. Returns whether it still waits.
   auto Retry(Timestamp now) -> bool;
+  // Adds the tokens that it waits for to what this daemon asks its hub for.
+  auto StateNeed() const -> void;
 
  private:
   // Why the request waits.
@@ -81,6 +83,7 @@
               std::optional<Duration> retry_after) -> void;
   auto Finish(const char* outcome, const char* cause, int status) -> void;
   auto Repeatable() const -> bool;
+  auto FirstEventPatience() const -> Duration;
   auto Stream() const -> bool {
     return route_->kind == serving::RequestKind::kStream;
   }
--- a/modules/core/time/time.cc
+++ b/modules/core/time/time.cc
@@ -16,6 +16,14 @@
       std::chrono::system_clock::now());
 }
 
+auto SuspendAwareNow() -> Timestamp {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Timestamp(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 auto FormatWallTime(WallTime time) -> std::string {
   const auto milliseconds = time.time_since_epoch().count();
   const auto seconds = static_cast<std::time_t>(milliseconds / 1000);
--- a/modules/core/time/time.h
+++ b/modules/core/time/time.h
@@ -21,6 +21,9 @@
 // call them.
 auto MonotonicNow() -> Timestamp;
 auto WallNow() -> WallTime;
+// Like MonotonicNow, but also counts while the machine is suspended; for the
+// validity of leases. Points of the two clocks cannot be compared.
+auto SuspendAwareNow() -> Timestamp;
 
 // `time` as ISO 8601 in UTC with milliseconds, for logs and history.
 auto FormatWallTime(WallTime time) -> std::string;
--- a/modules/fleet/allowance/allowance_holder.cc
+++ b/modules/fleet/allowance/allowance_holder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace dotterellug::fleet {
 namespace {
@@ -40,11 +41,9 @@
 auto AllowanceHolder::Need(const ClientAccountId& id, std::int64_t tokens)
     -> void {
   accounts_[id].needed += tokens;
-  urgent_ = true;
 }
 
 auto AllowanceHolder::TakeWants(Timestamp now) -> std::vector<AllowanceWant> {
-  urgent_ = false;
   std::vector<AllowanceWant> wants;
   for (auto& [id, account] : accounts_) {
     DecayRate(account, now);
@@ -57,8 +56,10 @@
                                             ToSeconds(options_.ready));
     target = std::max(target, account.largest / 2) + account.needed;
     const auto lacking = target - account.held;
-    account.needed = 0;
-    if (lacking > target / 3) wants.push_back({id, lacking});
+    const bool waiting = std::exchange(account.needed, 0) > 0;
+    if (lacking > 0 && (waiting || lacking > target / 3)) {
+      wants.push_back({id, lacking});
+    }
   }
   return wants;
 }
--- a/modules/fleet/allowance/allowance_holder.h
+++ b/modules/fleet/allowance/allowance_holder.h
@@ -31,12 +31,10 @@
                 Timestamp now) -> bool;
   // Gives tokens back whose request did not reach an upstream.
   auto Refund(const ClientAccountId& account, std::int64_t tokens) -> void;
-  // Notes tokens that a waiting request needs.
+  // Notes tokens that a waiting request needs; holds until the next TakeWants.
   auto Need(const ClientAccountId& account, std::int64_t tokens) -> void;
   // What to ask the hub for now.
   auto TakeWants(Timestamp now) -> std::vector<AllowanceWant>;
-  // Whether a request waits for tokens that were not asked for yet.
-  auto Urgent() const -> bool { return urgent_; }
   auto OnGrant(const AllowanceGrant& grant, Timestamp now) -> void;
   // While a hub has said that the account's tokens are used up: the time until
   // `tokens` are expected.
@@ -59,7 +57,6 @@
 
   AllowanceHolderOptions options_;
   std::map<ClientAccountId, Account> accounts_;
-  bool urgent_ = false;
 };
 
 }  // namespace dotterellug::fleet
--- a/modules/fleet/hub/fleet_hub.cc
+++ b/modules/fleet/hub/fleet_hub.cc
@@ -93,6 +93,10 @@
   return bucket;
 }
 
+auto FleetHub::Prepare(const ClientAccountId& account, Timestamp now) -> void {
+  if (const auto limit = limit_of_(account)) Bucket(account, *limit, now);
+}
+
 auto FleetHub::Grant(const AllowanceWant& want, Timestamp now)
     -> AllowanceGrant {
   AllowanceGrant grant{want.account, 0, Duration(0)};
--- a/modules/fleet/hub/fleet_hub.h
+++ b/modules/fleet/hub/fleet_hub.h
@@ -36,7 +36,10 @@
 
   // Daemons that may be running, reporting here or not.
   auto SetRegistered(std::int64_t daemons) -> void { registered_ = daemons; }
-  // Takes a report and answers it. `closing` and `leads` are filled in by the
+  // Lets the bucket of an account fill from now on, so that its first request
+  // finds tokens.
+  auto Prepare(const ClientAccountId& account, Timestamp now) -> void;
+  // Takes a report and answers it. What concerns orders is filled in by the
   // caller.
   auto OnReport(const FleetReport& report, Timestamp now) -> FleetSummary;
 
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -68,9 +68,16 @@
     closing.push_back(model.upstream.Value());
     closing.push_back(model.model.Value());
   }
+  auto opened = Json::array();
+  for (const auto& model : summary.opened) {
+    opened.push_back(model.upstream.Value());
+    opened.push_back(model.model.Value());
+    opened.push_back(model.adapter.Value());
+  }
   return Json::array({kSummaryTag, summary.from.Value(), summary.sequence,
-                      summary.leads, EncodeUses(summary.others),
-                      std::move(grants), std::move(closing)});
+                      summary.leader.Value(), EncodeUses(summary.others),
+                      std::move(grants), std::move(closing),
+                      std::move(opened)});
 }
 
 auto DecodeReport(const Json& list) -> FleetReport {
@@ -102,7 +109,7 @@
   FleetSummary summary;
   summary.from = InstanceId(list.at(1).get<std::string>());
   summary.sequence = list.at(2).get<std::int64_t>();
-  summary.leads = list.at(3).get<bool>();
+  summary.leader = InstanceId(list.at(3).get<std::string>());
   summary.others = DecodeUses(list.at(4));
   const auto& grants = list.at(5);
   for (std::size_t i = 0; i + 2 < grants.size(); i += 3) {
@@ -115,6 +122,12 @@
     summary.closing.push_back({UpstreamId(closing[i].get<std::string>()),
                                ModelId(closing[i + 1].get<std::string>())});
   }
+  const auto& opened = list.at(7);
+  for (std::size_t i = 0; i + 2 < opened.size(); i += 3) {
+    summary.opened.push_back({UpstreamId(opened[i].get<std::string>()),
+                              ModelId(opened[i + 1].get<std::string>()),
+                              AdapterId(opened[i + 2].get<std::string>())});
+  }
   return summary;
 }
 
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -60,17 +60,27 @@
   ModelId model;
 };
 
+// A model, or one of its adapters, that an engine has finished loading.
+struct OpenedModel {
+  UpstreamId upstream;
+  ModelId model;
+  // Empty for the model itself.
+  AdapterId adapter;
+};
+
 // The hub's answer to one report.
 struct FleetSummary {
   InstanceId from;
   // Sequence of the report that it answers.
   std::int64_t sequence = 0;
-  // Whether the hub is the daemon that orders loads.
-  bool leads = false;
+  // The daemon that orders loads, as far as the hub knows; it is the hub for
+  // all that can reach it.
+  InstanceId leader;
   // Use by all daemons that report to the hub, without the receiver's own.
   std::vector<UpstreamUse> others;
   std::vector<AllowanceGrant> grants;
   std::vector<ClosingModel> closing;
+  std::vector<OpenedModel> opened;
 };
 
 using FleetMessage = std::variant<FleetReport, FleetSummary>;
--- /dev/null
+++ b/modules/placement/copies/adapter_planner.cc
@@ -0,0 +1,128 @@
+#include "placement/copies/adapter_planner.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace dotterellug {
+namespace {
+
+using Adapter = std::pair<ModelId, AdapterId>;
+
+// Copies that an adapter gets while slots are free.
+constexpr int kMostCopies = 2;
+
+class Work {
+ public:
+  explicit Work(const AdapterInput& input) : input_(input) {
+    for (const auto& engine : input.engines) {
+      std::int64_t used = 0;
+      for (const auto& [model, adapters] : engine.held) {
+        used += static_cast<std::int64_t>(adapters.size());
+        for (const auto& adapter : adapters) ++copies_[{model, adapter}];
+      }
+      free_.push_back(engine.slots - used);
+      available_.push_back(engine.available);
+    }
+  }
+
+  auto Run() -> std::vector<AdapterStep> {
+    for (const auto& adapter : input_.wanted) {
+      if (Copies(adapter) == 0) Place(adapter, true);
+    }
+    for (int copies = 0; copies < kMostCopies; ++copies) {
+      for (const auto& model : ModelsByDemand()) {
+        for (const auto& adapter : input_.adapters.at(model)) {
+          if (Copies({model, adapter}) <= copies) {
+            Place({model, adapter}, copies == 0);
+          }
+        }
+      }
+    }
+    return std::move(steps_);
+  }
+
+ private:
+  auto Copies(const Adapter& adapter) const -> int {
+    const auto found = copies_.find(adapter);
+    return found == copies_.end() ? 0 : found->second;
+  }
+
+  auto ModelsByDemand() const -> std::vector<ModelId> {
+    std::vector<ModelId> models;
+    for (const auto& [model, adapters] : input_.adapters) {
+      models.push_back(model);
+    }
+    const auto demand = [&](const ModelId& model) {
+      const auto found = input_.demand.find(model);
+      return found == input_.demand.end() ? 0.0 : found->second;
+    };
+    std::stable_sort(
+        models.begin(), models.end(),
+        [&](const auto& a, const auto& b) { return demand(a) > demand(b); });
+    return models;
+  }
+
+  auto Place(const Adapter& adapter, bool may_replace) -> void {
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < input_.engines.size(); ++i) {
+      if (!Fits(i, adapter) || free_[i] <= 0) continue;
+      if (!best || free_[i] > free_[*best]) best = i;
+    }
+    if (best) {
+      steps_.push_back(
+          {true, input_.engines[*best].id, adapter.first, adapter.second});
+      available_[*best] = false;
+      ++copies_[adapter];
+      return;
+    }
+    if (may_replace) MakeRoom(adapter);
+  }
+
+  auto Fits(std::size_t index, const Adapter& adapter) const -> bool {
+    if (!available_[index]) return false;
+    const auto held = input_.engines[index].held.find(adapter.first);
+    return held != input_.engines[index].held.end() &&
+           held->second.count(adapter.second) == 0;
+  }
+
+  // Unloads an adapter that is held elsewhere too or, for a wanted one, one
+  // that nobody waits for.
+  auto MakeRoom(const Adapter& adapter) -> void {
+    const bool wanted = input_.wanted.count(adapter) > 0;
+    for (std::size_t i = 0; i < input_.engines.size(); ++i) {
+      if (!Fits(i, adapter)) continue;
+      std::optional<Adapter> victim;
+      for (const auto& [model, adapters] : input_.engines[i].held) {
+        for (const auto& held : adapters) {
+          const Adapter candidate(model, held);
+          if (input_.wanted.count(candidate) > 0) continue;
+          if (Copies(candidate) < 2 && !wanted) continue;
+          if (!victim || Copies(candidate) > Copies(*victim)) {
+            victim = candidate;
+          }
+        }
+      }
+      if (!victim) continue;
+      steps_.push_back(
+          {false, input_.engines[i].id, victim->first, victim->second});
+      available_[i] = false;
+      --copies_[*victim];
+      ++copies_[adapter];
+      return;
+    }
+  }
+
+  const AdapterInput& input_;
+  std::map<Adapter, int> copies_;
+  std::vector<std::int64_t> free_;
+  std::vector<bool> available_;
+  std::vector<AdapterStep> steps_;
+};
+
+}  // namespace
+
+auto PlanAdapters(const AdapterInput& input) -> std::vector<AdapterStep> {
+  return Work(input).Run();
+}
+
+}  // namespace dotterellug
--- a/modules/placement/placement.h
+++ b/modules/placement/placement.h
@@ -8,9 +8,12 @@
 
 #include "placement/commands/command.h"
 #include "placement/commands/command_log.h"
+#include "placement/copies/adapter_planner.h"
+#include "placement/copies/copy_planner.h"
 #include "placement/demand/demand_counter.h"
 #include "placement/demand/demand_estimator.h"
 #include "placement/demand/demand_report.h"
+#include "placement/lease/order_lease.h"
 #include "placement/planner/plan_input.h"
 #include "placement/planner/planner.h"
 #include "placement/ramp/cold_start_ramp.h"
--- a/modules/serving/catalog/serving_catalog.h
+++ b/modules/serving/catalog/serving_catalog.h
@@ -43,6 +43,8 @@
   // Time within which an answer (for streams: the first event) has its full
   // value to the caller.
   Duration goal = std::chrono::seconds(1);
+  // Longest pause between the events of a stream that callers find in time.
+  Duration event_gap{0};
   // 0 is the most urgent.
   int priority = 5;
   // Upstreams to which one request may be sent.
--- a/modules/serving/fleet/live_upstream.cc
+++ b/modules/serving/fleet/live_upstream.cc
@@ -44,6 +44,20 @@
       now + kFirstSuspicion * (1 << std::min(beyond, kMostDoublings));
 }
 
+auto LiveUpstream::NoteMissing(const ModelId& model, const AdapterId& adapter)
+    -> void {
+  auto& models = record.models;
+  for (auto held = models.begin(); held != models.end(); ++held) {
+    if (held->id != model) continue;
+    if (adapter.Empty()) {
+      models.erase(held);
+    } else {
+      held->adapters.erase(adapter);
+    }
+    return;
+  }
+}
+
 auto LiveUpstream::NotePace(Duration took, Duration expected) -> void {
   if (expected <= Duration::zero()) return;
   const auto ratio =
--- a/modules/serving/fleet/live_upstream.h
+++ b/modules/serving/fleet/live_upstream.h
@@ -74,6 +74,10 @@
   auto NoteFailure(Timestamp now) -> void;
   // No connection could be made, or one broke without an answer.
   auto NoteUnreachable(Timestamp now) -> void;
+  // It does not hold the model or adapter, whatever its entry says.
+  auto NoteMissing(const ModelId& model, const AdapterId& adapter) -> void;
+  // Another upstream has its address; it gets no work until its next entry.
+  auto NoteReplaced() -> void { record.leaving = true; }
   // The first event or the answer took `took` where `expected` was expected.
   auto NotePace(Duration took, Duration expected) -> void;
 
