Read upstreams from the store by the hub for all daemons

The hub now passes its changes on; a daemon reads for itself as soon as the hub's own contact is older than 1.3 s. Hubs keep totals instead of adding up all reports for each answer, and larger instances are hubs first.

--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -14,11 +14,17 @@
 
 namespace dotterellug::gateway {
 
+// How far this daemon has read the changes of each kind of object in the
+// store: configuration, upstreams, zones taken out.
+using StorePositions = std::vector<std::int64_t>;
+
 // A daemon that registered itself in the platform's store.
 struct Member {
   InstanceId id;
   // UDP address for messages between daemons.
   SocketAddress peers;
+  // Processor share of its instance, in cores.
+  double capacity = 0;
   // Revision of the registration, for removing it.
   std::int64_t revision = 0;
 };
@@ -34,6 +40,8 @@
   std::function<void(std::set<AvailabilityZoneId>)> on_zones_out;
   std::function<void(std::vector<Member>)> on_members;
   std::function<void(const Result<void>&)> on_store_contact;
+  // The store answered about upstreams, or did not.
+  std::function<void(bool answered)> on_upstream_contact;
   // Something from the platform could not be used; for the log.
   std::function<void(const Error&)> on_bad_entry;
 };
@@ -72,6 +80,16 @@
 // What the gateway asks of the platform. Replies come on the event loop.
 struct ControlLink {
   std::function<void()> start;
+  std::function<StorePositions()> positions;
+  // Another daemon has read so far. What is behind for a while is read again,
+  // since a watch can be deaf without an error.
+  std::function<void(const StorePositions&)> catch_up;
+  // Whether another daemon's positions come regularly, so that the own watches
+  // may wait longer.
+  std::function<void(bool)> set_backed;
+  // Whether to read the list of upstreams from the store; when that begins
+  // again, the list is read whole.
+  std::function<void(bool)> follow_upstreams;
   std::function<void(const Member&)> register_member;
   std::function<void(const Member&)> remove_member;
   // nullopt means that there is none.
--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -11,6 +11,12 @@
 
 // How often a daemon reports to its hub.
 constexpr auto kReportInterval = std::chrono::milliseconds(150);
+// A hub that answered within this time backs the own watches.
+constexpr auto kBackedTime = std::chrono::milliseconds(1000);
+// A hub's news of upstreams count as current while the store has answered it
+// within this time: leaving upstreams are to be known within two seconds.
+constexpr auto kFreshStore = std::chrono::milliseconds(1300);
+constexpr auto kNewsLifetime = std::chrono::milliseconds(1600);
 // Shortest time between two reports, when a request waits for one.
 constexpr auto kLeastInterval = std::chrono::milliseconds(8);
 
@@ -60,11 +66,33 @@
     members_[member.id] = member;
     ids.push_back(member.id);
   }
+  // Larger instances come first as hubs and as holders of orders.
+  std::map<InstanceId, double> capacities;
+  for (const auto& member : members) capacities[member.id] = member.capacity;
   const auto count = std::max<std::size_t>(ids.size(), 1);
   hub_.SetRegistered(static_cast<std::int64_t>(count));
   context_.repeats.SetDaemons(static_cast<std::int64_t>(count));
   context_.cold_gate.SetMembers(ids);
-  selector_.SetMembers(ids);
+  selector_.SetMembers(ids, capacities);
+}
+
+auto FleetNode::Backed() const -> bool {
+  return MonotonicNow() - backed_at_ < kBackedTime;
+}
+
+auto FleetNode::HasNews() const -> bool {
+  return MonotonicNow() - news_current_at_ < kNewsLifetime;
+}
+
+auto FleetNode::OnNewsOf(const fleet::FleetSummary& summary, Timestamp now)
+    -> void {
+  const auto& news = summary.news;
+  // Only a hub that reads the store itself keeps others from doing so.
+  if (news.too_old || news.position == 0) return;
+  if (summary.store_age <= kFreshStore) {
+    news_current_at_ = std::max(news_current_at_, now - summary.store_age);
+  }
+  if (news.position > journal_.Position()) on_news_(news);
 }
 
 auto FleetNode::Receive() -> void {
@@ -102,6 +130,9 @@
   summary.leader = leading_ ? context_.settings.instance : leader_;
   summary.closing = closing_;
   summary.opened = opened_;
+  summary.store_positions = link_->positions();
+  summary.store_age = now - upstreams_read_at_;
+  summary.news = journal_.Since(report.upstream_position);
   return summary;
 }
 
@@ -111,6 +142,11 @@
   for (const auto& grant : summary.grants) {
     context_.allowances.OnGrant(grant, now);
   }
+  if (summary.from != context_.settings.instance) {
+    backed_at_ = now;
+    link_->catch_up(summary.store_positions);
+    OnNewsOf(summary, now);
+  }
   if (summary.leader == summary.from) leader_seen_ = now;
   if (!summary.leader.Empty() && !leading_) SetLeader(summary.leader);
   for (const auto& [id, upstream] : context_.upstreams.All()) {
@@ -184,6 +220,7 @@
   for (const auto& [model, use] : context_.demand) report.models.push_back(use);
   report.missing = std::exchange(context_.missing, {});
   for (const auto& exchange : context_.parked) exchange->StateNeed();
+  report.upstream_position = journal_.Position();
   report.wants = context_.allowances.TakeWants(now);
   return report;
 }
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -35,6 +36,21 @@
   auto SetOpened(std::vector<fleet::OpenedModel> opened) -> void {
     opened_ = std::move(opened);
   }
+  auto SetStoreLink(std::shared_ptr<ControlLink> link) -> void {
+    link_ = std::move(link);
+  }
+  // Whether another daemon, as the hub, tells how far it has read the store.
+  auto Backed() const -> bool;
+  // Whether the hub's list of upstreams is fresh, so that this daemon need not
+  // read it from the store.
+  auto HasNews() const -> bool;
+  // What this daemon reads from the store or learns from a hub, for passing on.
+  auto Journal() -> fleet::UpstreamJournal& { return journal_; }
+  auto NoteUpstreamContact(Timestamp now) -> void { upstreams_read_at_ = now; }
+  // Where news of the hub go.
+  auto OnNews(std::function<void(const fleet::UpstreamNews&)> handler) -> void {
+    on_news_ = std::move(handler);
+  }
   // Reports now instead of at the next interval.
   auto ReportNow() -> void;
 
@@ -53,6 +69,7 @@
   auto MakeReport(Timestamp now) -> fleet::FleetReport;
   auto Answer(const fleet::FleetReport& report, Timestamp now)
       -> fleet::FleetSummary;
+  auto OnNewsOf(const fleet::FleetSummary& summary, Timestamp now) -> void;
   auto OnSummary(const fleet::FleetSummary& summary, Timestamp now) -> void;
   auto NoteOpened(const fleet::OpenedModel& opened) -> void;
   auto Send(const boost::asio::ip::udp::endpoint& to,
@@ -68,6 +85,14 @@
   std::map<InstanceId, Member> members_;
   fleet::FleetHub hub_;
   fleet::HubSelector selector_;
+  std::shared_ptr<ControlLink> link_;
+  Timestamp backed_at_{};
+  fleet::UpstreamJournal journal_;
+  std::function<void(const fleet::UpstreamNews&)> on_news_;
+  // When the store last answered this daemon about upstreams.
+  Timestamp upstreams_read_at_{};
+  // When the hub's news were last known to be current.
+  Timestamp news_current_at_{};
   std::vector<fleet::ClosingModel> closing_;
   std::vector<fleet::OpenedModel> opened_;
   std::int64_t sequence_ = 0;
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -60,6 +60,8 @@
       tick_(loop),
       drain_timer_(loop) {
   context_.report_now = [this] { fleet_.ReportNow(); };
+  fleet_.SetStoreLink(link_);
+  fleet_.OnNews([this](const fleet::UpstreamNews& news) { OnNews(news); });
 }
 
 Gateway::~Gateway() = default;
@@ -89,8 +91,14 @@
 auto Gateway::Events() -> ControlEvents {
   ControlEvents events;
   events.on_catalog = [this](auto catalog) { OnCatalog(std::move(catalog)); };
-  events.on_upstream = [this](const auto& record) { OnUpstream(record); };
+  events.on_upstream = [this](const auto& record) {
+    fleet_.Journal().OnChanged(record, link_->positions()[1]);
+    OnUpstream(record);
+  };
   events.on_upstream_gone = [this](const auto& id) { OnUpstreamGone(id); };
+  events.on_upstream_contact = [this](bool answered) {
+    if (answered) fleet_.NoteUpstreamContact(MonotonicNow());
+  };
   events.on_upstreams_listed = [this](const auto& listed) {
     OnUpstreamsListed(listed);
   };
@@ -170,6 +178,23 @@
       .Add("cause", cause);
   context_.connections.Drop(known->record.address);
   context_.upstreams.Remove(id);
+  fleet_.Journal().OnRemoved(id, link_->positions()[1]);
+}
+
+// Changes that another daemon has read from the store.
+auto Gateway::OnNews(const fleet::UpstreamNews& news) -> void {
+  // While this daemon reads the store itself, that is at least as new.
+  if (following_) return;
+  for (const auto& record : news.changed) {
+    fleet_.Journal().OnChanged(record, news.position);
+    OnUpstream(record);
+  }
+  for (const auto& id : news.removed) {
+    lapsed_.erase(id);
+    RemoveUpstream(id, "removed_by_hub");
+    fleet_.Journal().OnRemoved(id, news.position);
+  }
+  fleet_.Journal().OnListed(news.position);
 }
 
 auto Gateway::OnUpstreamGone(const UpstreamId& id) -> void {
@@ -183,6 +208,7 @@
 
 auto Gateway::OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void {
   upstreams_known_ = true;
+  fleet_.Journal().OnListed(link_->positions()[1]);
   std::vector<UpstreamId> missing;
   for (const auto& [id, upstream] : context_.upstreams.All()) {
     if (listed.count(id) == 0) missing.push_back(id);
@@ -210,14 +236,15 @@
   context_.log.Write(EventRank::kState, "members")
       .Add("count", static_cast<std::int64_t>(members.size()));
   fleet_.SetMembers(members);
+
   if (!registered_) RegisterSelf();
 }
 
 auto Gateway::RegisterSelf() -> void {
   if (draining_) return;
   registration_tried_ = MonotonicNow();
-  link_->register_member(
-      {context_.settings.instance, context_.settings.peers, 0});
+  link_->register_member({context_.settings.instance, context_.settings.peers,
+                          context_.settings.capacity, 0});
 }
 
 auto Gateway::OnStoreContact(const Result<void>& result) -> void {
@@ -281,6 +308,14 @@
     ordered_at_ = now;
     orders_.Tick();
   }
+  link_->set_backed(fleet_.Backed());
+  const bool follow = !fleet_.HasNews();
+  if (follow != following_) {
+    following_ = follow;
+    link_->follow_upstreams(follow);
+    context_.log.Write(EventRank::kState, "upstream_source")
+        .Add("source", follow ? "store" : "hub");
+  }
   if (draining_) FinishDrain();
   tick_.expires_after(context_.parked.empty() ? Duration(kIdleTick)
                                               : Duration(kTick));
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -46,6 +46,7 @@
   auto OnUpstream(const serving::UpstreamRecord& record) -> void;
   auto OnUpstreamGone(const UpstreamId& id) -> void;
   auto OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void;
+  auto OnNews(const fleet::UpstreamNews& news) -> void;
   auto OnZonesOut(std::set<AvailabilityZoneId> zones) -> void;
   auto OnMembers(std::vector<Member> members) -> void;
   auto OnStoreContact(const Result<void>& result) -> void;
@@ -70,6 +71,8 @@
   bool zones_known_ = false;
   bool registered_ = false;
   bool draining_ = false;
+  // Whether this daemon reads the list of upstreams from the store itself.
+  bool following_ = true;
   std::optional<Timestamp> drain_started_;
   Timestamp registration_tried_{};
   Timestamp swept_at_{};
--- a/daemon/gateway/gateway_settings.h
+++ b/daemon/gateway/gateway_settings.h
@@ -23,6 +23,8 @@
 struct GatewaySettings {
   InstanceId instance;
   AvailabilityZoneId zone;
+  // Processor share of the instance, in cores.
+  double capacity = 0;
   // The address on which callers' requests arrive.
   SocketAddress callers;
   // Where the load balancer asks whether this daemon is ready.
--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -100,10 +100,14 @@
   const auto& members = fleet_.Members();
   const auto& self = context_.settings.instance;
   if (members.count(self) == 0) return false;
+  const auto own_capacity = members.at(self).capacity;
   const auto own = RendezvousWeight(kContendKey, self.Value());
   std::size_t rank = 0;
   for (const auto& [id, member] : members) {
-    if (RendezvousWeight(kContendKey, id.Value()) > own) ++rank;
+    const bool before = member.capacity != own_capacity
+                            ? member.capacity > own_capacity
+                            : RendezvousWeight(kContendKey, id.Value()) > own;
+    if (before) ++rank;
   }
   if (rank >= kMostContenders) rank += kMostContenders;
   const auto wait = kContendAfter + kContendStep * static_cast<int>(rank);
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -282,6 +282,10 @@
 auto RequestExchange::SendTo(const serving::UpstreamTable::Entry& upstream,
                              Timestamp now) -> void {
   if (sent_ == 0) context_.repeats.CountRequest(pool_->id, now);
+  // An attempt after one that ran draws on the account's limit again.
+  if (ran_ > 0 && charged_ > 0) {
+    context_.allowances.SpendAnyway(account_, charged_);
+  }
   ++sent_;
   ++ran_;
   tried_.push_back(upstream->record.id);
--- a/modules/fleet/allowance/allowance_holder.cc
+++ b/modules/fleet/allowance/allowance_holder.cc
@@ -27,12 +27,16 @@
   if (account.held < tokens) return false;
   account.held -= tokens;
   account.used_at = now;
-  account.largest = std::max(account.largest, tokens);
   DecayRate(account, now);
   account.spent_per_second += static_cast<double>(tokens) / kRateSeconds;
   return true;
 }
 
+auto AllowanceHolder::SpendAnyway(const ClientAccountId& id,
+                                  std::int64_t tokens) -> void {
+  accounts_[id].held -= tokens;
+}
+
 auto AllowanceHolder::Refund(const ClientAccountId& id, std::int64_t tokens)
     -> void {
   accounts_[id].held += tokens;
@@ -48,13 +52,12 @@
   for (auto& [id, account] : accounts_) {
     DecayRate(account, now);
     if (account.needed == 0 && now - account.used_at > options_.keep) {
-      account.held = 0;
-      account.largest = 0;
+      account.held = std::min<std::int64_t>(account.held, 0);
       continue;
     }
-    auto target = static_cast<std::int64_t>(account.spent_per_second *
-                                            ToSeconds(options_.ready));
-    target = std::max(target, account.largest / 2) + account.needed;
+    const auto ready = static_cast<std::int64_t>(account.spent_per_second *
+                                                 ToSeconds(options_.ready));
+    const auto target = ready + account.needed;
     const auto lacking = target - account.held;
     const bool waiting = std::exchange(account.needed, 0) > 0;
     if (lacking > 0 && (waiting || lacking > target / 3)) {
--- a/modules/fleet/allowance/allowance_holder.h
+++ b/modules/fleet/allowance/allowance_holder.h
@@ -29,6 +29,9 @@
   // Spends tokens; false when there are too few.
   auto TrySpend(const ClientAccountId& account, std::int64_t tokens,
                 Timestamp now) -> bool;
+  // Spends tokens for a repeated attempt; what is missing is owed and covered
+  // by the next grants.
+  auto SpendAnyway(const ClientAccountId& account, std::int64_t tokens) -> void;
   // Gives tokens back whose request did not reach an upstream.
   auto Refund(const ClientAccountId& account, std::int64_t tokens) -> void;
   // Notes tokens that a waiting request needs; holds until the next TakeWants.
@@ -47,7 +50,6 @@
     std::int64_t held = 0;
     std::int64_t needed = 0;
     double spent_per_second = 0;
-    std::int64_t largest = 0;
     Timestamp rate_at{};
     Timestamp used_at{};
     Timestamp exhausted_until{};
--- a/modules/fleet/hub/fleet_hub.cc
+++ b/modules/fleet/hub/fleet_hub.cc
@@ -25,6 +25,8 @@
     -> FleetSummary {
   FleetSummary summary;
   summary.sequence = report.sequence;
+  if (now - reported_at_ > options_.report_lifetime) EmptyBuckets(now);
+  reported_at_ = now;
   const auto found = sources_.find(report.from);
   const auto* before = found == sources_.end() ? nullptr : &found->second;
   const bool restarted =
@@ -36,9 +38,11 @@
     for (const auto& adapter : report.missing) {
       if (missing_.size() < kMostMissing) missing_.push_back(adapter);
     }
+    if (before != nullptr) AddUse(before->report, -1);
     auto stored = report;
     stored.wants.clear();
-    sources_[report.from] = Source{now, std::move(stored)};
+    AddUse(stored, 1);
+    sources_[report.from] = Source{now, true, std::move(stored)};
   }
   UpdateShare(now);
   // An old report is a duplicate or was overtaken; its wants were answered or
@@ -48,24 +52,51 @@
       summary.grants.push_back(Grant(want, now));
     }
   }
-  std::map<UpstreamId, UpstreamUse> others;
-  for (const auto& [daemon, source] : sources_) {
-    if (daemon == report.from) continue;
-    if (now - source.at > options_.report_lifetime) continue;
-    for (const auto& use : source.report.upstreams) {
-      auto& sum = others[use.upstream];
-      sum.upstream = use.upstream;
-      sum.requests += use.requests;
-      sum.tokens += use.tokens;
+  std::map<UpstreamId, UpstreamUse> own;
+  for (const auto& use : sources_[report.from].report.upstreams) {
+    own[use.upstream] = use;
+  }
+  for (const auto& [upstream, total] : totals_) {
+    auto use = total;
+    const auto found = own.find(upstream);
+    if (found != own.end()) {
+      use.requests -= found->second.requests;
+      use.tokens -= found->second.tokens;
     }
+    if (use.requests > 0) summary.others.push_back(use);
   }
-  for (auto& [upstream, use] : others) summary.others.push_back(use);
   return summary;
 }
 
+auto FleetHub::AddUse(const FleetReport& report, int sign) -> void {
+  for (const auto& use : report.upstreams) {
+    auto& total = totals_[use.upstream];
+    total.upstream = use.upstream;
+    total.requests += sign * use.requests;
+    total.tokens += sign * use.tokens;
+    if (total.requests == 0) totals_.erase(use.upstream);
+  }
+}
+
+// After a time without reports another hub may have granted what these buckets
+// have gathered meanwhile.
+auto FleetHub::EmptyBuckets(Timestamp now) -> void {
+  if (reported_at_ == Timestamp{}) return;
+  share_ = PartsPerMillion(0);
+  for (auto& [account, bucket] : buckets_) {
+    bucket.ChangeShare(share_, MicroTokens(0), now);
+  }
+}
+
 auto FleetHub::UpdateShare(Timestamp now) -> void {
   for (auto source = sources_.begin(); source != sources_.end();) {
-    const bool forget = now - source->second.at > kForgetAfter;
+    auto& [at, counted, report] = source->second;
+    if (counted && now - at > options_.report_lifetime) {
+      AddUse(report, -1);
+      report.upstreams.clear();
+      counted = false;
+    }
+    const bool forget = now - at > kForgetAfter;
     source = forget ? sources_.erase(source) : std::next(source);
   }
   const auto reporting = Reporting(now);
--- a/modules/fleet/hub/fleet_hub.h
+++ b/modules/fleet/hub/fleet_hub.h
@@ -60,6 +60,8 @@
  private:
   struct Source {
     Timestamp at;
+    // Whether its use is part of the totals.
+    bool counted = true;
     FleetReport report;
   };
   // Exponentially weighted demand of one model.
@@ -69,6 +71,9 @@
     Timestamp at;
   };
 
+  // Adds the report's use to the totals, or takes it away.
+  auto AddUse(const FleetReport& report, int sign) -> void;
+  auto EmptyBuckets(Timestamp now) -> void;
   auto UpdateShare(Timestamp now) -> void;
   auto CountDemand(const FleetReport& report, const Source* before,
                    Timestamp now) -> void;
@@ -81,7 +86,10 @@
   LimitOf limit_of_;
   std::int64_t registered_ = 1;
   PartsPerMillion share_;
+  Timestamp reported_at_{};
   std::map<InstanceId, Source> sources_;
+  // Use by all daemons that report here.
+  std::map<UpstreamId, UpstreamUse> totals_;
   std::map<ClientAccountId, TokenBucket> buckets_;
   std::map<ModelId, Rate> rates_;
   std::vector<MissingAdapter> missing_;
--- a/modules/fleet/hub/hub_selector.cc
+++ b/modules/fleet/hub/hub_selector.cc
@@ -9,9 +9,16 @@
 
 }  // namespace
 
-auto HubSelector::SetMembers(const std::vector<InstanceId>& members) -> void {
+auto HubSelector::SetMembers(const std::vector<InstanceId>& members,
+                             const std::map<InstanceId, double>& capacities)
+    -> void {
+  const auto capacity = [&](const InstanceId& id) {
+    const auto found = capacities.find(id);
+    return found == capacities.end() ? 0.0 : found->second;
+  };
   order_ = members;
-  std::sort(order_.begin(), order_.end(), [](const auto& a, const auto& b) {
+  std::sort(order_.begin(), order_.end(), [&](const auto& a, const auto& b) {
+    if (capacity(a) != capacity(b)) return capacity(a) > capacity(b);
     const auto weight_a = RendezvousWeight(kOrderKey, a.Value());
     const auto weight_b = RendezvousWeight(kOrderKey, b.Value());
     return weight_a != weight_b ? weight_a > weight_b : a < b;
--- a/modules/fleet/hub/hub_selector.h
+++ b/modules/fleet/hub/hub_selector.h
@@ -23,7 +23,9 @@
   HubSelector(InstanceId self, HubSelectorOptions options)
       : self_(std::move(self)), options_(options) {}
 
-  auto SetMembers(const std::vector<InstanceId>& members) -> void;
+  // Members with more capacity come first; those without one come last.
+  auto SetMembers(const std::vector<InstanceId>& members,
+                  const std::map<InstanceId, double>& capacities) -> void;
   // The daemon that orders loads, as far as known; empty if unknown.
   auto SetLeader(InstanceId leader) -> void { leader_ = std::move(leader); }
 
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -1,6 +1,7 @@
 #include "fleet/messages/fleet_codec.h"
 
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "core/variant/overloaded.h"
 
@@ -33,6 +34,78 @@
   return uses;
 }
 
+template <typename Ids>
+auto EncodeIds(const Ids& ids) -> Json {
+  auto list = Json::array();
+  for (const auto& id : ids) list.push_back(id.Value());
+  return list;
+}
+
+template <typename Id>
+auto DecodeIds(const Json& list) -> std::set<Id> {
+  std::set<Id> ids;
+  for (const auto& id : list) ids.insert(Id(id.get<std::string>()));
+  return ids;
+}
+
+auto EncodeRecord(const serving::UpstreamRecord& record) -> Json {
+  auto models = Json::array();
+  for (const auto& model : record.models) {
+    models.push_back(Json::array(
+        {model.id.Value(), model.version, EncodeIds(model.adapters)}));
+  }
+  return Json::array({record.id.Value(), record.pool.Value(),
+                      record.address.Text(), record.zone.Value(), record.slots,
+                      record.leaving, record.cold_left.count(),
+                      record.started_ms, record.command_sequence,
+                      std::move(models), EncodeIds(record.in_memory),
+                      EncodeIds(record.on_disk)});
+}
+
+auto DecodeRecord(const Json& list) -> serving::UpstreamRecord {
+  serving::UpstreamRecord record;
+  record.id = UpstreamId(list.at(0).get<std::string>());
+  record.pool = PoolId(list.at(1).get<std::string>());
+  record.address = ParseSocketAddress(list.at(2).get<std::string>())
+                       .value_or(SocketAddress());
+  record.zone = AvailabilityZoneId(list.at(3).get<std::string>());
+  record.slots = list.at(4).get<std::int64_t>();
+  record.leaving = list.at(5).get<bool>();
+  record.cold_left = Duration(list.at(6).get<std::int64_t>());
+  record.started_ms = list.at(7).get<std::int64_t>();
+  record.command_sequence = list.at(8).get<std::int64_t>();
+  for (const auto& model : list.at(9)) {
+    record.models.push_back({ModelId(model.at(0).get<std::string>()),
+                             model.at(1).get<std::int64_t>(),
+                             DecodeIds<AdapterId>(model.at(2))});
+  }
+  record.in_memory = DecodeIds<ModelId>(list.at(10));
+  record.on_disk = DecodeIds<ModelId>(list.at(11));
+  return record;
+}
+
+auto EncodeNews(const UpstreamNews& news) -> Json {
+  auto changed = Json::array();
+  for (const auto& record : news.changed) {
+    changed.push_back(EncodeRecord(record));
+  }
+  return Json::array({news.position, std::move(changed),
+                      EncodeIds(news.removed), news.too_old});
+}
+
+auto DecodeNews(const Json& list) -> UpstreamNews {
+  UpstreamNews news;
+  news.position = list.at(0).get<std::int64_t>();
+  for (const auto& record : list.at(1)) {
+    news.changed.push_back(DecodeRecord(record));
+  }
+  for (const auto& id : DecodeIds<UpstreamId>(list.at(2))) {
+    news.removed.push_back(id);
+  }
+  news.too_old = list.at(3).get<bool>();
+  return news;
+}
+
 auto Encode(const FleetReport& report) -> Json {
   auto models = Json::array();
   for (const auto& use : report.models) {
@@ -50,10 +123,10 @@
     wants.push_back(want.account.Value());
     wants.push_back(want.tokens);
   }
-  return Json::array({kReportTag, report.from.Value(),
-                      report.incarnation.Value(), report.sequence,
-                      EncodeUses(report.upstreams), std::move(models),
-                      std::move(missing), std::move(wants)});
+  return Json::array(
+      {kReportTag, report.from.Value(), report.incarnation.Value(),
+       report.sequence, EncodeUses(report.upstreams), std::move(models),
+       std::move(missing), std::move(wants), report.upstream_position});
 }
 
 auto Encode(const FleetSummary& summary) -> Json {
@@ -76,8 +149,9 @@
   }
   return Json::array({kSummaryTag, summary.from.Value(), summary.sequence,
                       summary.leader.Value(), EncodeUses(summary.others),
-                      std::move(grants), std::move(closing),
-                      std::move(opened)});
+                      std::move(grants), std::move(closing), std::move(opened),
+                      summary.store_positions, summary.store_age.count(),
+                      EncodeNews(summary.news)});
 }
 
 auto DecodeReport(const Json& list) -> FleetReport {
@@ -102,6 +176,7 @@
     report.wants.push_back({ClientAccountId(wants[i].get<std::string>()),
                             wants[i + 1].get<std::int64_t>()});
   }
+  report.upstream_position = list.at(8).get<std::int64_t>();
   return report;
 }
 
@@ -128,6 +203,9 @@
                               ModelId(opened[i + 1].get<std::string>()),
                               AdapterId(opened[i + 2].get<std::string>())});
   }
+  summary.store_positions = list.at(8).get<std::vector<std::int64_t>>();
+  summary.store_age = Duration(list.at(9).get<std::int64_t>());
+  summary.news = DecodeNews(list.at(10));
   return summary;
 }
 
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "fleet/news/upstream_journal.h"
 
 namespace dotterellug::fleet {
 
@@ -45,6 +46,8 @@
   std::vector<ModelUse> models;
   std::vector<MissingAdapter> missing;
   std::vector<AllowanceWant> wants;
+  // How far the sender has read the list of upstreams.
+  std::int64_t upstream_position = 0;
 };
 
 struct AllowanceGrant {
@@ -79,6 +82,12 @@
   // Use by all daemons that report to the hub, without the receiver's own.
   std::vector<UpstreamUse> others;
   std::vector<AllowanceGrant> grants;
+  // How far the hub has read the store's changes, by kind of object.
+  std::vector<std::int64_t> store_positions;
+  // Time since the store last answered the hub about upstreams.
+  Duration store_age{0};
+  // Changes of the list of upstreams that the sender has not read.
+  UpstreamNews news;
   std::vector<ClosingModel> closing;
   std::vector<OpenedModel> opened;
 };
