--- /dev/null
+++ b/modules/fleet/tests/fleet_tests.cc
@@ -0,0 +1,292 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <map>
+
+#include "fleet/fleet.h"
+
+namespace dotterellug::fleet {
+namespace {
+
+auto At(double s) -> Timestamp { return Timestamp(FromSeconds(1000 + s)); }
+
+const ClientAccountId kAccount("shop");
+
+auto LimitOf(std::int64_t per_second, std::int64_t burst) -> FleetHub::LimitOf {
+  return [=](const ClientAccountId&) {
+    return RateLimit{Tokens(per_second), Tokens(burst)};
+  };
+}
+
+auto MakeReport(int daemon, std::int64_t sequence, std::int64_t want)
+    -> FleetReport {
+  FleetReport report;
+  report.from = InstanceId("d" + std::to_string(daemon));
+  report.incarnation = Incarnation(1);
+  report.sequence = sequence;
+  if (want > 0) report.wants.push_back({kAccount, want});
+  return report;
+}
+
+TEST(FleetCodecTest, RoundTripsBothMessages) {
+  auto report = MakeReport(1, 7, 100);
+  report.upstreams.push_back({UpstreamId("u"), 3, 900});
+  report.models.push_back({ModelId("m"), 10, 5000});
+  report.missing.push_back({ModelId("m"), AdapterId("a1")});
+  report.upstream_position = 55;
+  const auto decoded = DecodeFleetMessage(EncodeFleetMessage(report));
+  ASSERT_TRUE(decoded);
+  const auto& copy = std::get<FleetReport>(*decoded);
+  EXPECT_EQ(copy.sequence, 7);
+  EXPECT_EQ(copy.upstreams[0].tokens, 900);
+  EXPECT_EQ(copy.models[0].requests, 10);
+  EXPECT_EQ(copy.missing[0].adapter, AdapterId("a1"));
+  EXPECT_EQ(copy.wants[0].tokens, 100);
+  EXPECT_EQ(copy.upstream_position, 55);
+
+  FleetSummary summary;
+  summary.from = InstanceId("h");
+  summary.leader = InstanceId("l");
+  summary.others.push_back({UpstreamId("u"), 4, 7});
+  summary.grants.push_back({kAccount, 5, std::chrono::milliseconds(3)});
+  summary.closing.push_back({UpstreamId("u"), ModelId("m")});
+  summary.opened.push_back({UpstreamId("u"), ModelId("m"), AdapterId("a2")});
+  summary.store_positions = {1, 2, 3};
+  serving::UpstreamRecord record;
+  record.id = UpstreamId("u");
+  record.address = {"127.0.0.1", 9};
+  record.models = {{ModelId("m"), 2, {AdapterId("a1")}}};
+  record.on_disk = {ModelId("n")};
+  summary.news = {9, {record}, {UpstreamId("gone")}, false};
+  const auto other = DecodeFleetMessage(EncodeFleetMessage(summary));
+  ASSERT_TRUE(other);
+  const auto& read = std::get<FleetSummary>(*other);
+  EXPECT_EQ(read.leader, InstanceId("l"));
+  EXPECT_EQ(read.grants[0].wait, Duration(3000));
+  EXPECT_EQ(read.opened[0].adapter, AdapterId("a2"));
+  EXPECT_EQ(read.store_positions.size(), 3U);
+  EXPECT_EQ(read.news.changed[0].models[0].adapters.count(AdapterId("a1")), 1U);
+  EXPECT_EQ(read.news.changed[0].address.port, 9);
+  EXPECT_EQ(read.news.removed[0], UpstreamId("gone"));
+}
+
+// Guards against a crash by bytes of another program or version.
+TEST(FleetCodecTest, RejectsOtherBytes) {
+  rc::check([](const std::string& bytes) {
+    const auto message = DecodeFleetMessage(bytes);
+    if (!message) RC_ASSERT(message.error().kind == ErrorKind::kProtocol);
+  });
+  auto bytes = EncodeFleetMessage(MakeReport(1, 7, 100));
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    EXPECT_FALSE(DecodeFleetMessage(bytes.substr(0, size)));
+  }
+}
+
+// Guards against an account that exceeds its limit when daemons change hubs,
+// hubs are cut from one another, and grants are lost.
+TEST(FleetHubTest, GrantsOfAllHubsTogetherStayWithinTheLimit) {
+  rc::check([](std::uint64_t seed) {
+    Random random(seed);
+    constexpr int kDaemons = 6;
+    constexpr double kRate = 6000;
+    constexpr double kBurst = 6000;
+    std::vector<FleetHub> hubs;
+    for (int i = 0; i < kDaemons; ++i) {
+      hubs.emplace_back(FleetHubOptions{}, LimitOf(kRate, kBurst));
+      hubs.back().SetRegistered(kDaemons);
+    }
+    std::vector<int> hub_of(kDaemons, 0);
+    std::deque<std::pair<double, std::int64_t>> granted;
+    std::int64_t sequence = 0;
+    double last_change = 0;
+    for (double now = 0; now < 40; now += 0.025) {
+      // A cut changes the hub of some daemons, every few seconds at most.
+      if (now - last_change > 4 && random.Below(20) == 0) {
+        last_change = now;
+        for (auto& hub : hub_of) {
+          if (random.Below(2) == 0) {
+            hub = static_cast<int>(random.Below(kDaemons));
+          }
+        }
+      }
+      for (int daemon = 0; daemon < kDaemons; ++daemon) {
+        if (random.Below(6) != 0) continue;
+        const auto report = MakeReport(daemon, ++sequence, 2000);
+        const auto summary =
+            hubs[static_cast<std::size_t>(hub_of[daemon])].OnReport(report,
+                                                                    At(now));
+        for (const auto& grant : summary.grants) {
+          granted.emplace_back(now, grant.tokens);
+        }
+      }
+      while (!granted.empty() && granted.front().first <= now - 8) {
+        granted.pop_front();
+      }
+      std::int64_t sum = 0;
+      for (const auto& [at, tokens] : granted) sum += tokens;
+      // The platform's bound for a window of 8 s: a tenth more, and 17,000.
+      RC_ASSERT(static_cast<double>(sum) <=
+                (kRate * 8 + kBurst) * 1.1 + 17'000);
+    }
+  });
+}
+
+// Guards against the burst that an unused hub would have gathered.
+TEST(FleetHubTest, AHubThatComesBackBeginsWithoutTokens) {
+  FleetHub hub({}, LimitOf(1000, 1000));
+  hub.OnReport(MakeReport(1, 1, 0), At(0));
+  hub.OnReport(MakeReport(1, 2, 0), At(0.5));
+  const auto later = hub.OnReport(MakeReport(1, 3, 500), At(10));
+  EXPECT_EQ(later.grants[0].tokens, 0);
+  EXPECT_GT(later.grants[0].wait, Duration(0));
+}
+
+TEST(FleetHubTest, AnswersWithTheUseOfTheOthersOnly) {
+  FleetHub hub({}, LimitOf(1000, 1000));
+  auto first = MakeReport(1, 1, 0);
+  first.upstreams.push_back({UpstreamId("u"), 3, 300});
+  auto second = MakeReport(2, 1, 0);
+  second.upstreams.push_back({UpstreamId("u"), 4, 400});
+  hub.OnReport(first, At(0));
+  const auto summary = hub.OnReport(second, At(0));
+  ASSERT_EQ(summary.others.size(), 1U);
+  EXPECT_EQ(summary.others[0].requests, 3);
+  // Guards against the use of a daemon that ended.
+  second.sequence = 2;
+  EXPECT_TRUE(hub.OnReport(second, At(2)).others.empty());
+}
+
+TEST(FleetHubTest, ADuplicateReportIsGrantedNothing) {
+  FleetHub hub({}, LimitOf(1000, 1000));
+  hub.Prepare(kAccount, At(0));
+  hub.OnReport(MakeReport(1, 1, 0), At(0));
+  hub.OnReport(MakeReport(1, 2, 0), At(0.8));
+  EXPECT_EQ(hub.OnReport(MakeReport(1, 3, 50), At(0.9)).grants.size(), 1U);
+  EXPECT_TRUE(hub.OnReport(MakeReport(1, 3, 50), At(0.9)).grants.empty());
+}
+
+TEST(HubSelectorTest, PassesOverASilentHubAndReturnsToIt) {
+  const std::vector<InstanceId> members{InstanceId("a"), InstanceId("b"),
+                                        InstanceId("c")};
+  HubSelector selector(InstanceId("c"), {});
+  selector.SetMembers(members, {{InstanceId("a"), 0.5},
+                                {InstanceId("b"), 0.25},
+                                {InstanceId("c"), 0.12}});
+  EXPECT_EQ(selector.Choose(At(0)), InstanceId("a"));
+  EXPECT_EQ(selector.Choose(At(0.5)), InstanceId("b"));
+  selector.OnAnswer(InstanceId("b"), At(0.51));
+  EXPECT_TRUE(selector.Connected(At(0.6)));
+  EXPECT_EQ(selector.Choose(At(2.6)), InstanceId("a"));
+  selector.SetLeader(InstanceId("b"));
+  EXPECT_EQ(selector.Choose(At(2.7)), InstanceId("b"));
+}
+
+TEST(HubSelectorTest, ServesItselfWhenNobodyAnswers) {
+  HubSelector selector(InstanceId("c"), {});
+  selector.SetMembers({InstanceId("a"), InstanceId("c")},
+                      {{InstanceId("a"), 1}, {InstanceId("c"), 0}});
+  selector.Choose(At(0));
+  EXPECT_EQ(selector.Choose(At(0.5)), InstanceId("c"));
+  EXPECT_FALSE(selector.Connected(At(0.5)));
+}
+
+// Guards against a request that waits for the rest of its tokens without their
+// being asked for (seen as refusals within the limit).
+TEST(AllowanceHolderTest, AsksForTheWholeNeedOfAWaitingRequest) {
+  AllowanceHolder holder;
+  holder.OnGrant({kAccount, 900, Duration(0)}, At(0));
+  EXPECT_FALSE(holder.TrySpend(kAccount, 1000, At(0)));
+  holder.Need(kAccount, 1000);
+  const auto wants = holder.TakeWants(At(0));
+  ASSERT_EQ(wants.size(), 1U);
+  EXPECT_EQ(wants[0].tokens, 100);
+  holder.OnGrant({kAccount, 100, Duration(0)}, At(0.01));
+  EXPECT_TRUE(holder.TrySpend(kAccount, 1000, At(0.01)));
+}
+
+TEST(AllowanceHolderTest, GivesUpWhatIsNotUsed) {
+  AllowanceHolder holder;
+  holder.OnGrant({kAccount, 900, Duration(0)}, At(0));
+  holder.TakeWants(At(5));
+  EXPECT_EQ(holder.Held(kAccount), 0);
+}
+
+// Guards against repeated attempts beside the limit.
+TEST(AllowanceHolderTest, ARepeatedAttemptIsOwed) {
+  AllowanceHolder holder;
+  holder.SpendAnyway(kAccount, 400);
+  holder.TakeWants(At(5));
+  EXPECT_EQ(holder.Held(kAccount), -400);
+  holder.OnGrant({kAccount, 500, Duration(0)}, At(5));
+  EXPECT_FALSE(holder.TrySpend(kAccount, 200, At(5)));
+}
+
+TEST(AllowanceHolderTest, AnExhaustedLimitIsRefusedAtOnceForAWhile) {
+  AllowanceHolder holder;
+  holder.OnGrant({kAccount, 0, std::chrono::seconds(3)}, At(0));
+  EXPECT_TRUE(holder.ExhaustedFor(kAccount, At(0.1)));
+  EXPECT_FALSE(holder.ExhaustedFor(kAccount, At(0.4)));
+}
+
+auto MakeRecord(const std::string& id, bool leaving)
+    -> serving::UpstreamRecord {
+  serving::UpstreamRecord record;
+  record.id = UpstreamId(id);
+  record.leaving = leaving;
+  return record;
+}
+
+// Guards against a change that a reader never learns: whatever pieces it reads,
+// it ends with the writer's list.
+TEST(UpstreamJournalTest, ReadersEndWithTheWritersList) {
+  rc::check([](std::uint64_t seed) {
+    Random random(seed);
+    UpstreamJournal journal;
+    journal.OnListed(10);
+    std::map<UpstreamId, bool> written;
+    std::map<UpstreamId, bool> read;
+    std::int64_t position = 10;
+    std::int64_t store = 10;
+    for (int i = 0; i < 400; ++i) {
+      const auto name = "u" + std::to_string(random.Below(40));
+      // Several changes may have one position.
+      if (random.Below(3) != 0) ++store;
+      if (random.Below(4) == 0) {
+        journal.OnRemoved(UpstreamId(name), store);
+        written.erase(UpstreamId(name));
+      } else {
+        const bool leaving = random.Below(2) == 0;
+        journal.OnChanged(MakeRecord(name, leaving), store);
+        written[UpstreamId(name)] = leaving;
+      }
+      if (random.Below(8) != 0) continue;
+      // A reader sees a position only when the writer is done with it.
+      ++store;
+      const auto news = journal.Since(position);
+      RC_ASSERT(!news.too_old);
+      for (const auto& record : news.changed) read[record.id] = record.leaving;
+      for (const auto& id : news.removed) read.erase(id);
+      position = news.position;
+    }
+    for (int i = 0; i < 20; ++i) {
+      const auto news = journal.Since(position);
+      for (const auto& record : news.changed) read[record.id] = record.leaving;
+      for (const auto& id : news.removed) read.erase(id);
+      position = news.position;
+    }
+    RC_ASSERT(read == written);
+  });
+}
+
+TEST(UpstreamJournalTest, SaysWhenItDoesNotReachBack) {
+  UpstreamJournal journal;
+  EXPECT_FALSE(journal.Since(5).too_old);
+  EXPECT_EQ(journal.Since(0).position, 0);
+  journal.OnListed(10);
+  EXPECT_TRUE(journal.Since(5).too_old);
+  EXPECT_FALSE(journal.Since(10).too_old);
+}
+
+}  // namespace
+}  // namespace dotterellug::fleet
--- /dev/null
+++ b/modules/serving/tests/serving_tests.cc
@@ -0,0 +1,252 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+
+#include "serving/serving.h"
+
+namespace dotterellug::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+auto At(double s) -> Timestamp { return Timestamp(FromSeconds(1000 + s)); }
+
+auto MakeRoute(const std::string& host, const std::string& prefix)
+    -> ServiceRoute {
+  ServiceRoute route;
+  route.name = host + prefix;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.pools = {{PoolId("p"), 1}};
+  return route;
+}
+
+auto MakeRecord(const std::string& id, std::int64_t slots = 8)
+    -> UpstreamRecord {
+  UpstreamRecord record;
+  record.id = UpstreamId(id);
+  record.pool = PoolId("p");
+  record.zone = AvailabilityZoneId("a");
+  record.address = {"127.0.0.1", 1};
+  record.slots = slots;
+  return record;
+}
+
+// Guards against a shorter prefix winning, and against a prefix that ends
+// within a path segment.
+TEST(ServingCatalogTest, ChoosesTheLongestPrefix) {
+  ServingCatalog catalog;
+  catalog.AddRoute(MakeRoute("h", "/a/"));
+  catalog.AddRoute(MakeRoute("h", "/a/b/"));
+  EXPECT_EQ(catalog.FindRoute("h", "/a/b/c?x=/a/z/")->path_prefix, "/a/b/");
+  EXPECT_EQ(catalog.FindRoute("h", "/a/bc")->path_prefix, "/a/");
+  EXPECT_EQ(catalog.FindRoute("h", "/b/"), nullptr);
+  EXPECT_EQ(catalog.FindRoute("other", "/a/"), nullptr);
+}
+
+TEST(ServingCatalogTest, FindsAccountsByKey) {
+  ServingCatalog catalog;
+  ServiceAccount account;
+  account.id = ClientAccountId("shop");
+  catalog.AddAccount(account, {"k1", "k2"});
+  EXPECT_EQ(catalog.FindAccount("k2")->id, account.id);
+  EXPECT_EQ(catalog.FindAccount(std::string("k3")), nullptr);
+}
+
+// Guards against a fleet whose repeated attempts multiply the load of a failing
+// pool: whatever the daemons do, the sum in any window keeps to the ratio.
+TEST(RepeatBudgetTest, SumOverDaemonsKeepsToTheBoundInEveryWindow) {
+  rc::check([](std::uint64_t seed) {
+    Random random(seed);
+    const RepeatLimits limits{0.2, 58, seconds(10)};
+    const auto daemons = static_cast<std::int64_t>(1 + random.Below(9));
+    std::vector<RepeatBudget> budgets(static_cast<std::size_t>(daemons),
+                                      RepeatBudget(limits));
+    for (auto& budget : budgets) budget.SetDaemons(daemons);
+    std::deque<double> requests;
+    std::deque<double> repeats;
+    double now = 0;
+    const PoolId pool("p");
+    for (int i = 0; i < 3000; ++i) {
+      now += random.Exponential(0.01);
+      auto& budget = budgets[random.Below(budgets.size())];
+      if (random.Below(3) == 0) {
+        budget.CountRequest(pool, At(now));
+        requests.push_back(now);
+      }
+      if (budget.TryRepeat(pool, At(now))) repeats.push_back(now);
+      while (!repeats.empty() && repeats.front() < now - 10) {
+        repeats.pop_front();
+      }
+      while (!requests.empty() && requests.front() < now - 10) {
+        requests.pop_front();
+      }
+      RC_ASSERT(static_cast<double>(repeats.size()) <=
+                0.2 * static_cast<double>(requests.size()) + 58);
+    }
+  });
+}
+
+// Guards against events that are cut, lost or joined when a stream goes on at
+// another upstream.
+TEST(EventSplitterTest, ReturnsWholeEventsHoweverTheBytesAreCut) {
+  const std::string stream =
+      "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\ndata: d\n\n";
+  for (std::size_t size = 1; size < stream.size(); ++size) {
+    EventSplitter splitter;
+    std::string out;
+    for (std::size_t at = 0; at < stream.size(); at += size) {
+      const auto piece = splitter.Feed(stream.substr(at, size));
+      EXPECT_TRUE(piece.empty() || piece.substr(piece.size() - 2) == "\n\n");
+      out += piece;
+    }
+    EXPECT_EQ(out, stream);
+    EXPECT_EQ(splitter.LastEvent(), 3);
+    EXPECT_EQ(splitter.Events(), 3);
+    EXPECT_TRUE(splitter.Rest().empty());
+  }
+}
+
+TEST(EventSplitterTest, KeepsAnIncompleteEventBack) {
+  EventSplitter splitter;
+  EXPECT_EQ(splitter.Feed("id: 7\ndata: x\n\nid: 8\ndata: par"),
+            "id: 7\ndata: x\n\n");
+  EXPECT_EQ(splitter.LastEvent(), 7);
+  splitter.DropRest();
+  EXPECT_EQ(splitter.Feed("id: 8\ndata: whole\n\n"), "id: 8\ndata: whole\n\n");
+  EXPECT_EQ(splitter.LastEvent(), 8);
+}
+
+class UpstreamChoiceTest : public ::testing::Test {
+ protected:
+  auto Choose(std::vector<UpstreamId> excluded = {})
+      -> tl::expected<UpstreamTable::Entry, NoChoice> {
+    ChoiceRequest request;
+    request.pool = PoolId("p");
+    request.zone = AvailabilityZoneId("a");
+    request.excluded = std::move(excluded);
+    request.model = model;
+    return choice.Choose(
+        table, request, {}, [](const auto&) { return true; }, random, At(0));
+  }
+
+  UpstreamTable table;
+  UpstreamChoice choice;
+  Random random{1};
+  ModelId model;
+};
+
+// Guards against new work for an upstream that leaves or whose zone is out.
+TEST_F(UpstreamChoiceTest, SkipsLeavingUpstreamsAndZonesOut) {
+  auto leaving = MakeRecord("x");
+  leaving.leaving = true;
+  table.Upsert(leaving, At(0));
+  EXPECT_EQ(Choose().error(), NoChoice::kNoUpstream);
+  table.Upsert(MakeRecord("y"), At(0));
+  EXPECT_EQ((*Choose())->record.id, UpstreamId("y"));
+  table.SetZonesOut({AvailabilityZoneId("a")});
+  EXPECT_EQ(Choose().error(), NoChoice::kNoUpstream);
+}
+
+TEST_F(UpstreamChoiceTest, NeedsTheModelAndNamesTheReason) {
+  auto record = MakeRecord("x");
+  record.models = {{ModelId("m"), 1, {}}};
+  table.Upsert(record, At(0));
+  model = ModelId("n");
+  EXPECT_EQ(Choose().error(), NoChoice::kNoModel);
+  model = ModelId("m");
+  EXPECT_TRUE(Choose().has_value());
+  EXPECT_EQ(Choose({UpstreamId("x")}).error(), NoChoice::kFull);
+}
+
+// Pattern: a burst arrives while reports lag. The daemon's own sends since the
+// last report must spread it.
+TEST_F(UpstreamChoiceTest, SpreadsABurstBetweenReports) {
+  for (const auto* id : {"x", "y", "z"}) table.Upsert(MakeRecord(id), At(0));
+  for (int i = 0; i < 24; ++i) (*Choose())->requests += 1;
+  for (const auto& [id, entry] : table.All()) {
+    EXPECT_GE(entry->requests, 6) << id;
+  }
+}
+
+// Pattern: an upstream whose health looks good fails part of its requests.
+TEST_F(UpstreamChoiceTest, MovesWorkAwayFromAFailingUpstream) {
+  for (const auto* id : {"x", "y"}) table.Upsert(MakeRecord(id), At(0));
+  const auto failing = table.Find(UpstreamId("x"));
+  for (int i = 0; i < 5; ++i) failing->NoteFailure(At(0));
+  for (int i = 0; i < 6; ++i) {
+    const auto chosen = *Choose();
+    EXPECT_EQ(chosen->record.id, UpstreamId("y"));
+    chosen->requests += 1;
+  }
+}
+
+// Guards against an old process's counts staying with a new one of the same id.
+TEST(UpstreamTableTest, ANewStartReplacesTheEntry) {
+  UpstreamTable table;
+  auto record = MakeRecord("x");
+  record.started_ms = 1;
+  table.Upsert(record, At(0));
+  table.Find(UpstreamId("x"))->requests = 5;
+  record.started_ms = 2;
+  table.Upsert(record, At(1));
+  EXPECT_EQ(table.Find(UpstreamId("x"))->requests, 0);
+  EXPECT_EQ(table.OfPool(PoolId("p")).size(), 1U);
+}
+
+// Guards against a cold upstream that gets more than it bears from all daemons
+// together, also while their lists of members differ by one.
+TEST(ColdGateTest, SumOverDaemonsStaysWithinTheRate) {
+  for (const std::size_t daemons : {1U, 4U, 9U, 80U}) {
+    std::vector<InstanceId> members;
+    for (std::size_t i = 0; i < daemons; ++i) {
+      members.emplace_back("d" + std::to_string(i));
+    }
+    std::vector<ColdGate> gates;
+    for (const auto& member : members) {
+      gates.emplace_back(member);
+      gates.back().SetMembers(members);
+    }
+    const LiveUpstream upstream(MakeRecord("cold"));
+    std::deque<double> sent;
+    std::size_t most = 0;
+    for (double now = 0; now < 5; now += 0.002) {
+      for (auto& gate : gates) {
+        if (gate.TryTake(upstream, 15, At(now))) sent.push_back(now);
+      }
+      while (!sent.empty() && sent.front() <= now - 1) sent.pop_front();
+      most = std::max(most, sent.size());
+    }
+    // 15 a second, half as many more and 5 are the platform's bound.
+    EXPECT_LE(most, 27U) << daemons;
+    EXPECT_GE(most, 10U) << daemons;
+  }
+}
+
+TEST(LiveUpstreamTest, SuspicionEndsWithASuccess) {
+  LiveUpstream upstream(MakeRecord("x"));
+  upstream.NoteUnreachable(At(0));
+  EXPECT_FALSE(upstream.Suspected(At(0)));
+  upstream.NoteUnreachable(At(0));
+  EXPECT_TRUE(upstream.Suspected(At(0.4)));
+  EXPECT_FALSE(upstream.Suspected(At(3)));
+  upstream.NoteUnreachable(At(3));
+  upstream.NoteSuccess(At(3));
+  EXPECT_FALSE(upstream.Suspected(At(3)));
+}
+
+TEST(LiveUpstreamTest, ForgetsAModelThatItDoesNotHold) {
+  auto record = MakeRecord("x");
+  record.models = {{ModelId("m"), 1, {AdapterId("a1")}}};
+  LiveUpstream upstream(record);
+  upstream.NoteMissing(ModelId("m"), AdapterId("a1"));
+  EXPECT_FALSE(upstream.Holds(ModelId("m"), AdapterId("a1")));
+  EXPECT_TRUE(upstream.Holds(ModelId("m"), AdapterId()));
+  upstream.NoteMissing(ModelId("m"), AdapterId());
+  EXPECT_FALSE(upstream.Holds(ModelId("m"), AdapterId()));
+}
+
+}  // namespace
+}  // namespace dotterellug::serving
