Wait out the previous holder after every take-over of the order lease

Cause: a take-over whose answer was lost left a record that names this daemon; the next write then counted as a renewal of its own and orders began at once, within the time to live of the other holder's last order. Ruled out: late writes of the old holder (their condition fails). A daemon now waits unless there was no record at all.

--- a/modules/placement/lease/order_lease.cc
+++ b/modules/placement/lease/order_lease.cc
@@ -64,13 +64,15 @@
 auto OrderLease::OnWritten(std::int64_t revision, Timestamp now) -> void {
   pending_ = false;
   if (!holding_) {
-    // Orders of this daemon's own earlier process count as its own, so only
-    // another holder's need to be waited out.
-    const bool other = seen_.revision != 0 && seen_.holder != self_;
+    // A record that names this daemon may stand for a write of its own whose
+    // answer was lost, or that an earlier process of it made, shortly after
+    // another holder's last order. Only without any record is there nothing to
+    // wait out.
+    const bool first = seen_.revision == 0;
     // A holder that released its lease may have given an order just before.
     const auto quiet =
         seen_.released ? 1.0 + times_.quiet - times_.unchanged : times_.quiet;
-    may_order_from_ = other ? now + Times(quiet) : now;
+    may_order_from_ = first ? now : now + Times(quiet);
   }
   holding_ = true;
   renewed_at_ = write_began_;
--- /dev/null
+++ b/modules/placement/tests/order_lease_tests.cc
@@ -0,0 +1,219 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <functional>
+#include <optional>
+
+#include "placement/lease/order_lease.h"
+
+namespace dotterellug {
+namespace {
+
+auto At(double s) -> Timestamp { return Timestamp(FromSeconds(1000 + s)); }
+
+constexpr double kTimeToLive = 3.0;
+
+// One object of a store with conditional writes, whose answers can be late,
+// lost after taking effect, or refused, and daemons that stop and wake again.
+class LeaseWorld {
+ public:
+  LeaseWorld(std::uint64_t seed, const OrderLeaseTimes& times) : random_(seed) {
+    for (int i = 0; i < 4; ++i) {
+      nodes_.push_back(
+          {OrderLease(InstanceId("d" + std::to_string(i)), times), 0, 0});
+    }
+  }
+
+  // Runs for `seconds` and returns whether every two orders of different
+  // holders were a time to live apart, with growing fencing numbers.
+  auto Run(double seconds) -> bool {
+    for (now_ = 0; now_ < seconds; now_ += 0.05) {
+      if (random_.Below(120) == 0) {
+        down_until_ = now_ + 1 + random_.Uniform() * 5;
+      }
+      for (std::size_t i = 0; i < nodes_.size(); ++i) Step(i);
+      while (!events_.empty() && events_.front().first <= now_) {
+        const auto event = std::move(events_.front().second);
+        events_.pop_front();
+        event();
+      }
+      if (!ok_) return false;
+    }
+    return ok_;
+  }
+
+  auto Orders() const -> int { return orders_; }
+  auto Holders() const -> int { return holders_; }
+
+ private:
+  struct Node {
+    OrderLease lease;
+    double paused_until = 0;
+    double cut_until = 0;
+  };
+
+  auto Step(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    if (random_.Below(400) == 0) {
+      node.paused_until = now_ + random_.Uniform() * 8;
+    }
+    if (random_.Below(400) == 0) {
+      node.cut_until = now_ + random_.Uniform() * 8;
+    }
+    if (now_ < node.paused_until) return;
+    Order(index);
+    switch (node.lease.Next(true, At(now_))) {
+      case OrderLease::Step::kNothing:
+        return;
+      case OrderLease::Step::kRead:
+        return Read(index);
+      case OrderLease::Step::kWrite:
+        return Write(index);
+    }
+  }
+
+  auto Order(std::size_t index) -> void {
+    const auto fence = nodes_[index].lease.MayOrder(At(now_));
+    if (!fence) return;
+    ++orders_;
+    if (last_holder_ && *last_holder_ != index) {
+      ++holders_;
+      if (now_ - last_order_ < kTimeToLive || *fence <= last_fence_) {
+        ok_ = false;
+      }
+    }
+    last_holder_ = index;
+    last_order_ = now_;
+    last_fence_ = *fence;
+  }
+
+  auto Reachable(std::size_t index) const -> bool {
+    return now_ >= down_until_ && now_ >= nodes_[index].cut_until;
+  }
+
+  // Runs `event` after a short time, or when the node wakes.
+  auto Later(std::size_t index, double delay, std::function<void()> event)
+      -> void {
+    auto at = now_ + delay;
+    at = std::max(at, nodes_[index].paused_until);
+    auto place = events_.begin();
+    while (place != events_.end() && place->first <= at) ++place;
+    events_.insert(place, {at, std::move(event)});
+  }
+
+  auto Read(std::size_t index) -> void {
+    const bool failed = !Reachable(index);
+    const auto record = record_;
+    const auto delay = 0.004 + random_.Uniform() * 0.3;
+    Later(index, delay, [this, index, failed, record] {
+      if (failed) {
+        nodes_[index].lease.OnReadFailed(At(now_));
+      } else {
+        nodes_[index].lease.OnRead(record, At(now_));
+      }
+    });
+  }
+
+  auto Write(std::size_t index) -> void {
+    const auto proposal = nodes_[index].lease.Proposal();
+    const auto delay = 0.004 + random_.Uniform() * 0.3;
+    if (!Reachable(index)) {
+      return Later(index, delay, [this, index] {
+        nodes_[index].lease.OnWriteFailed(At(now_));
+      });
+    }
+    const bool lost = random_.Below(10) == 0;
+    const bool late = lost && random_.Below(2) == 0;
+    const auto apply = [this, proposal] {
+      if (proposal.revision != record_.revision) return false;
+      record_ = proposal;
+      record_.revision = ++revision_;
+      return true;
+    };
+    if (late) {
+      // Done some seconds later if its condition still holds.
+      Later(index, 1 + random_.Uniform() * 4, [apply] { apply(); });
+    }
+    const bool done = !late && apply();
+    const auto revision = record_.revision;
+    Later(index, delay, [this, index, lost, done, revision] {
+      auto& lease = nodes_[index].lease;
+      if (lost) return lease.OnWriteFailed(At(now_));
+      if (!done) return lease.OnConflict(At(now_));
+      lease.OnWritten(revision, At(now_));
+    });
+  }
+
+  Random random_;
+  std::vector<Node> nodes_;
+  std::deque<std::pair<double, std::function<void()>>> events_;
+  OrderLeaseRecord record_;
+  std::int64_t revision_ = 0;
+  double now_ = 0;
+  double down_until_ = 0;
+  std::optional<std::size_t> last_holder_;
+  double last_order_ = 0;
+  std::int64_t last_fence_ = 0;
+  int orders_ = 0;
+  int holders_ = 0;
+  bool ok_ = true;
+};
+
+// Guards against two daemons that give orders in turn: pauses, cuts, a store
+// that is down, and writes whose answers are lost or that are done late.
+TEST(OrderLeaseTest, OrdersOfTwoHoldersAreATimeToLiveApart) {
+  int holders = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    LeaseWorld world(seed, {});
+    EXPECT_TRUE(world.Run(120)) << "seed " << seed;
+    EXPECT_GT(world.Orders(), 0) << "seed " << seed;
+    holders += world.Holders();
+  }
+  EXPECT_GT(holders, 300);
+}
+
+auto BreaksWith(const OrderLeaseTimes& times) -> bool {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    if (!LeaseWorld(seed, times).Run(120)) return true;
+  }
+  return false;
+}
+
+// Without one of its waits the lease must fail this test's schedules, or they
+// prove nothing.
+TEST(OrderLeaseTest, EachWaitIsNeeded) {
+  OrderLeaseTimes times;
+  times.quiet = 0;
+  EXPECT_TRUE(BreaksWith(times));
+  times = {};
+  times.valid = 3;
+  EXPECT_TRUE(BreaksWith(times));
+  times = {};
+  times.unchanged = 0;
+  EXPECT_TRUE(BreaksWith(times));
+}
+
+TEST(OrderLeaseTest, AFencedHolderStops) {
+  OrderLease lease(InstanceId("a"), {});
+  ASSERT_EQ(lease.Next(true, At(0)), OrderLease::Step::kRead);
+  lease.OnRead({}, At(0));
+  ASSERT_EQ(lease.Next(true, At(0)), OrderLease::Step::kWrite);
+  lease.OnWritten(5, At(0));
+  EXPECT_EQ(lease.MayOrder(At(0.1)), 1);
+  lease.OnFenced();
+  EXPECT_FALSE(lease.MayOrder(At(0.1)));
+}
+
+TEST(OrderLeaseTest, TakesOverFromAHolderThatReleased) {
+  OrderLease lease(InstanceId("a"), {});
+  lease.Next(true, At(0));
+  lease.OnRead({InstanceId("b"), 4, true, 9}, At(0));
+  ASSERT_EQ(lease.Next(true, At(0)), OrderLease::Step::kWrite);
+  EXPECT_EQ(lease.Proposal().fence, 5);
+  lease.OnWritten(10, At(0));
+  EXPECT_FALSE(lease.MayOrder(At(1)));
+}
+
+}  // namespace
+}  // namespace dotterellug
