Let a restarted holder of the order lease contend again

A hub now names itself only while it leads. Ruled out: the store (reads and writes succeeded). Before: no order_lease_held after the restart.

--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -127,7 +127,10 @@
     -> fleet::FleetSummary {
   auto summary = hub_.OnReport(report, now);
   summary.from = context_.settings.instance;
-  summary.leader = leading_ ? context_.settings.instance : leader_;
+  // A daemon that the lease names but that does not act on it is no leader.
+  const auto& self = context_.settings.instance;
+  summary.leader = leading_ ? self : leader_;
+  if (!leading_ && leader_ == self) summary.leader = InstanceId();
   summary.closing = closing_;
   summary.opened = opened_;
   summary.store_positions = link_->positions();
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -588,7 +588,9 @@
       .AddMs("took_ms", MonotonicNow() - arrival_);
   if (!good) line.Add("cause", cause);
   if (route_ != nullptr) line.Add("route", route_->name);
-  if (!account_.Empty()) line.Add("account", account_.Value());
+  if (!account_.Empty()) {
+    line.Add("account", account_.Value()).Add("tokens", charged_);
+  }
   if (!request_.model.Empty()) line.Add("model", request_.model.Value());
   if (!tried_.empty()) line.Add("upstream", tried_.back().Value());
   if (catalog_) line.Add("config", catalog_->version);
