Know holders by fencing number and close sessions whose stream outlived a drain

A holder is now adopted only with a higher fencing number; failed reads of the lease are spaced; hubs hand out less of the burst.

--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -127,10 +127,9 @@
     -> fleet::FleetSummary {
   auto summary = hub_.OnReport(report, now);
   summary.from = context_.settings.instance;
-  // A daemon that the lease names but that does not act on it is no leader.
-  const auto& self = context_.settings.instance;
-  summary.leader = leading_ ? self : leader_;
-  if (!leading_ && leader_ == self) summary.leader = InstanceId();
+  summary.leader = leader_;
+  summary.leader_fence = leader_fence_;
+  summary.leads = leading_;
   summary.closing = closing_;
   summary.opened = opened_;
   summary.store_positions = link_->positions();
@@ -150,8 +149,8 @@
     link_->catch_up(summary.store_positions);
     OnNewsOf(summary, now);
   }
-  if (summary.leader == summary.from) leader_seen_ = now;
-  if (!summary.leader.Empty() && !leading_) SetLeader(summary.leader);
+  if (summary.leads) leader_seen_ = now;
+  SetLeader(summary.leader, summary.leader_fence);
   for (const auto& [id, upstream] : context_.upstreams.All()) {
     upstream->foreign = {};
   }
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -24,7 +24,11 @@
   auto Start() -> Result<SocketAddress>;
   auto SetMembers(const std::vector<Member>& members) -> void;
   // The daemon that orders loads, as far as known.
-  auto SetLeader(const InstanceId& leader) -> void {
+  // An older fencing number changes nothing: daemons that know different
+  // holders would send one another back and forth between two hubs.
+  auto SetLeader(const InstanceId& leader, std::int64_t fence) -> void {
+    if (fence <= leader_fence_) return;
+    leader_fence_ = fence;
     leader_ = leader;
     selector_.SetLeader(leader);
   }
@@ -100,6 +104,7 @@
   Timestamp leader_seen_{};
   bool report_soon_ = false;
   InstanceId leader_;
+  std::int64_t leader_fence_ = 0;
   bool leading_ = false;
 };
 
--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -137,7 +137,7 @@
     return lease_.OnReadFailed(now);
   }
   const auto record = result->value_or(OrderLeaseRecord{});
-  if (!record.released && !leading_) fleet_.SetLeader(record.holder);
+  fleet_.SetLeader(record.holder, record.fence);
   lease_.OnRead(record, now);
 }
 
@@ -157,9 +157,9 @@
   leading_ = leading;
   leading_since_ = MonotonicNow();
   fleet_.SetLeading(leading);
-  if (leading) fleet_.SetLeader(context_.settings.instance);
-  if (!leading && lease_.Holder() == context_.settings.instance) {
-    fleet_.SetLeader(InstanceId());
+  if (leading) {
+    fleet_.SetLeader(context_.settings.instance,
+                     lease_.MayOrder(SuspendAwareNow()).value_or(0));
   }
   // A new holder begins with what the engines say and without credit at the
   // store, which the one before may have used.
--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -178,6 +178,9 @@
 auto ServerSession::AnswerEnded() -> void {
   on_gone_ = nullptr;
   on_drained_ = nullptr;
+  // A stream whose head was sent before the drain has not told its client to
+  // close, so this end does.
+  if (server_.Draining()) close_after_ = true;
   state_ = close_after_ ? State::kLingering : State::kIdle;
   state_since_ = MonotonicNow();
   Flush();
--- a/modules/fleet/hub/fleet_hub.h
+++ b/modules/fleet/hub/fleet_hub.h
@@ -19,7 +19,7 @@
   Duration report_lifetime = std::chrono::milliseconds(900);
   // Part of an account's burst that hubs hand out. The rest covers tokens that
   // daemons hold ready, and a change of hub.
-  double burst_part = 0.7;
+  double burst_part = 0.45;
 };
 
 // One daemon's part as a hub: sums up the reports of those that chose it and
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -148,7 +148,8 @@
     opened.push_back(model.adapter.Value());
   }
   return Json::array({kSummaryTag, summary.from.Value(), summary.sequence,
-                      summary.leader.Value(), EncodeUses(summary.others),
+                      summary.leader.Value(), summary.leader_fence,
+                      summary.leads, EncodeUses(summary.others),
                       std::move(grants), std::move(closing), std::move(opened),
                       summary.store_positions, summary.store_age.count(),
                       EncodeNews(summary.news)});
@@ -185,27 +186,29 @@
   summary.from = InstanceId(list.at(1).get<std::string>());
   summary.sequence = list.at(2).get<std::int64_t>();
   summary.leader = InstanceId(list.at(3).get<std::string>());
-  summary.others = DecodeUses(list.at(4));
-  const auto& grants = list.at(5);
+  summary.leader_fence = list.at(4).get<std::int64_t>();
+  summary.leads = list.at(5).get<bool>();
+  summary.others = DecodeUses(list.at(6));
+  const auto& grants = list.at(7);
   for (std::size_t i = 0; i + 2 < grants.size(); i += 3) {
     summary.grants.push_back({ClientAccountId(grants[i].get<std::string>()),
                               grants[i + 1].get<std::int64_t>(),
                               Duration(grants[i + 2].get<std::int64_t>())});
   }
-  const auto& closing = list.at(6);
+  const auto& closing = list.at(8);
   for (std::size_t i = 0; i + 1 < closing.size(); i += 2) {
     summary.closing.push_back({UpstreamId(closing[i].get<std::string>()),
                                ModelId(closing[i + 1].get<std::string>())});
   }
-  const auto& opened = list.at(7);
+  const auto& opened = list.at(9);
   for (std::size_t i = 0; i + 2 < opened.size(); i += 3) {
     summary.opened.push_back({UpstreamId(opened[i].get<std::string>()),
                               ModelId(opened[i + 1].get<std::string>()),
                               AdapterId(opened[i + 2].get<std::string>())});
   }
-  summary.store_positions = list.at(8).get<std::vector<std::int64_t>>();
-  summary.store_age = Duration(list.at(9).get<std::int64_t>());
-  summary.news = DecodeNews(list.at(10));
+  summary.store_positions = list.at(10).get<std::vector<std::int64_t>>();
+  summary.store_age = Duration(list.at(11).get<std::int64_t>());
+  summary.news = DecodeNews(list.at(12));
   return summary;
 }
 
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -76,9 +76,12 @@
   InstanceId from;
   // Sequence of the report that it answers.
   std::int64_t sequence = 0;
-  // The daemon that orders loads, as far as the hub knows; it is the hub for
-  // all that can reach it.
+  // The holder of the right to order loads with the highest fencing number that
+  // the hub knows; it is the hub for all that can reach it.
   InstanceId leader;
+  std::int64_t leader_fence = 0;
+  // Whether the hub itself orders loads now.
+  bool leads = false;
   // Use by all daemons that report to the hub, without the receiver's own.
   std::vector<UpstreamUse> others;
   std::vector<AllowanceGrant> grants;
--- a/modules/fleet/tests/fleet_tests.cc
+++ b/modules/fleet/tests/fleet_tests.cc
@@ -48,6 +48,8 @@
   FleetSummary summary;
   summary.from = InstanceId("h");
   summary.leader = InstanceId("l");
+  summary.leader_fence = 6;
+  summary.leads = true;
   summary.others.push_back({UpstreamId("u"), 4, 7});
   summary.grants.push_back({kAccount, 5, std::chrono::milliseconds(3)});
   summary.closing.push_back({UpstreamId("u"), ModelId("m")});
@@ -63,6 +65,8 @@
   ASSERT_TRUE(other);
   const auto& read = std::get<FleetSummary>(*other);
   EXPECT_EQ(read.leader, InstanceId("l"));
+  EXPECT_EQ(read.leader_fence, 6);
+  EXPECT_TRUE(read.leads);
   EXPECT_EQ(read.grants[0].wait, Duration(3000));
   EXPECT_EQ(read.opened[0].adapter, AdapterId("a2"));
   EXPECT_EQ(read.store_positions.size(), 3U);
--- a/modules/placement/lease/order_lease.cc
+++ b/modules/placement/lease/order_lease.cc
@@ -22,7 +22,8 @@
     write_began_ = now;
     return Step::kWrite;
   }
-  if (known_ && !read_first_ && now - read_at_ < Times(kReadPart)) {
+  // Also after a failure, so that a store that refuses is not asked at once.
+  if (read_at_ != Timestamp{} && now - read_at_ < Times(kReadPart)) {
     return Step::kNothing;
   }
   pending_ = true;
