--- /dev/null
+++ b/modules/eventhttp/tests/client_tests.cc
@@ -0,0 +1,186 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <thread>
+
+#include "eventhttp/eventhttp.h"
+#include "eventhttp/tests/scripted_peer.h"
+
+namespace dotterellug::eventhttp {
+namespace {
+
+using testing::ScriptedPeer;
+
+struct Seen {
+  int status = 0;
+  std::string body;
+  std::optional<ExchangeEnd> end;
+};
+
+class ClientTest : public ::testing::Test {
+ protected:
+  auto Exchange(const std::shared_ptr<ClientConnection>& connection,
+                HeadVerdict first = HeadVerdict::kAccept) -> Seen {
+    Seen seen;
+    int heads = 0;
+    ExchangeHandlers handlers;
+    handlers.on_head = [&](ResponseHead& head) {
+      seen.status = head.status;
+      return heads++ == 0 ? first : HeadVerdict::kAccept;
+    };
+    handlers.on_body = [&](std::string_view piece) { seen.body += piece; };
+    handlers.on_end = [&](ExchangeEnd end) { seen.end = end; };
+    connection->Exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                         std::move(handlers));
+    Run([&] { return seen.end.has_value(); });
+    return seen;
+  }
+
+  auto Run(const std::function<bool()>& done) -> void {
+    const auto end = MonotonicNow() + std::chrono::seconds(5);
+    while (!done() && MonotonicNow() < end) {
+      loop.restart();
+      loop.run_one_for(std::chrono::milliseconds(50));
+    }
+  }
+
+  boost::asio::io_context loop;
+  ScriptedPeer peer{loop};
+};
+
+struct AnswerCase {
+  std::string name;
+  std::string bytes;
+  bool close;
+  bool reset;
+  ExchangeEnd end;
+  std::string body;
+};
+
+class AnswerTest : public ClientTest,
+                   public ::testing::WithParamInterface<AnswerCase> {};
+
+// Guards against a broken answer that looks complete, and against a complete
+// one that looks broken.
+TEST_P(AnswerTest, EndsAsItShould) {
+  const auto& param = GetParam();
+  peer.answers = {param.bytes};
+  peer.close_after_answers = param.close;
+  peer.reset_after_answers = param.reset;
+  const auto seen =
+      Exchange(std::make_shared<ClientConnection>(loop, peer.Address()));
+  ASSERT_TRUE(seen.end.has_value());
+  EXPECT_EQ(static_cast<int>(*seen.end), static_cast<int>(param.end));
+  EXPECT_EQ(seen.body, param.body);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, AnswerTest,
+    ::testing::Values(
+        AnswerCase{"Length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+                   false, false, ExchangeEnd::kComplete, "ab"},
+        AnswerCase{"Chunks",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
+                   false, false, ExchangeEnd::kComplete, "ab"},
+        AnswerCase{"Interim",
+                   "HTTP/1.1 103 Early\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+                   false, false, ExchangeEnd::kComplete, "a"},
+        AnswerCase{"NoLengthClosed", "HTTP/1.1 200 OK\r\n\r\nab", true, false,
+                   ExchangeEnd::kComplete, "ab"},
+        AnswerCase{"NoLengthReset", "HTTP/1.1 200 OK\r\n\r\nab", false, true,
+                   ExchangeEnd::kTruncated, "ab"},
+        AnswerCase{"ShortLength",
+                   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", true,
+                   false, ExchangeEnd::kTruncated, "ab"},
+        AnswerCase{"ShortChunks",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "1\r\na\r\n",
+                   true, false, ExchangeEnd::kTruncated, "a"},
+        AnswerCase{"Nothing", "", true, false, ExchangeEnd::kNoResponse, ""},
+        AnswerCase{"PartOfHead", "HTTP/1.1 200 OK\r\nCont", true, false,
+                   ExchangeEnd::kNoResponse, ""},
+        AnswerCase{"OtherBytes", "garbage\r\n\r\n", false, false,
+                   ExchangeEnd::kProtocolError, ""}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(ClientTest, RefusedConnectionMeansNotSent) {
+  SocketAddress address;
+  {
+    boost::asio::io_context other;
+    const ScriptedPeer gone(other);
+    address = gone.Address();
+  }
+  const auto seen = Exchange(std::make_shared<ClientConnection>(loop, address));
+  EXPECT_EQ(seen.end, ExchangeEnd::kNotSent);
+}
+
+// Guards against a late answer to an earlier request being taken for this
+// one's.
+TEST_F(ClientTest, SkipsAnAnswerToAnotherRequest) {
+  peer.answers = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+      "HTTP/1.1 201 Created\r\nContent-Length: 3\r\n\r\nnew"};
+  const auto seen =
+      Exchange(std::make_shared<ClientConnection>(loop, peer.Address()),
+               HeadVerdict::kSkip);
+  EXPECT_EQ(seen.status, 201);
+  EXPECT_EQ(seen.body, "new");
+  EXPECT_EQ(seen.end, ExchangeEnd::kComplete);
+}
+
+TEST_F(ClientTest, PoolUsesAConnectionAgain) {
+  peer.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+  ConnectionPool pool(loop, {});
+  for (int i = 0; i < 2; ++i) {
+    const auto connection =
+        pool.Acquire(peer.Address(), std::chrono::seconds(1));
+    EXPECT_EQ(Exchange(connection).end, ExchangeEnd::kComplete);
+    pool.Release(connection);
+  }
+  EXPECT_EQ(peer.Connections(), 1);
+}
+
+// Guards against a request on a connection with bytes that belong to none.
+TEST_F(ClientTest, PoolDropsAConnectionWithUnaskedBytes) {
+  peer.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+  ConnectionPool pool(loop, {});
+  const auto connection = pool.Acquire(peer.Address(), std::chrono::seconds(1));
+  Exchange(connection);
+  pool.Release(connection);
+  peer.SendNow("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  Run([&] { return !connection->Reusable(); });
+  EXPECT_NE(pool.Acquire(peer.Address(), std::chrono::seconds(1)), connection);
+}
+
+// Guards against use of a connection that the server is about to close.
+TEST_F(ClientTest, PoolKeepsToTheServersIdleTime) {
+  peer.answers = {
+      "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"};
+  ConnectionPool pool(loop, {});
+  const auto connection = pool.Acquire(peer.Address(), std::chrono::seconds(1));
+  Exchange(connection);
+  pool.Release(connection);
+  std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  EXPECT_NE(pool.Acquire(peer.Address(), std::chrono::seconds(1)), connection);
+}
+
+TEST_F(ClientTest, CancelClosesTheConnectionAtOnce) {
+  const auto connection =
+      std::make_shared<ClientConnection>(loop, peer.Address());
+  bool called = false;
+  ExchangeHandlers handlers;
+  handlers.on_end = [&](ExchangeEnd) { called = true; };
+  connection->Exchange("GET / HTTP/1.1\r\n\r\n", std::move(handlers));
+  Run([&] { return !peer.Received().empty(); });
+  connection->Cancel();
+  Run([&] { return peer.Ended() == 1; });
+  EXPECT_EQ(peer.Ended(), 1);
+  EXPECT_FALSE(called);
+}
+
+}  // namespace
+}  // namespace dotterellug::eventhttp
--- /dev/null
+++ b/modules/eventhttp/tests/server_tests.cc
@@ -0,0 +1,211 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "eventhttp/eventhttp.h"
+
+namespace dotterellug::eventhttp {
+namespace {
+
+// A client that sends raw bytes and collects what comes back.
+class RawClient {
+ public:
+  RawClient(boost::asio::io_context& loop, const SocketAddress& address)
+      : socket_(loop) {
+    socket_.connect(
+        {boost::asio::ip::make_address(address.host), address.port});
+    Read();
+  }
+
+  auto Send(const std::string& bytes) -> void {
+    boost::asio::write(socket_, boost::asio::buffer(bytes));
+  }
+  auto Close() -> void { socket_.close(); }
+  auto Received() const -> const std::string& { return received_; }
+  auto Ended() const -> bool { return ended_; }
+
+ private:
+  auto Read() -> void {
+    socket_.async_read_some(
+        boost::asio::buffer(buffer_),
+        [this](boost::system::error_code error, std::size_t count) {
+          if (error) {
+            ended_ = true;
+            return;
+          }
+          received_.append(buffer_.data(), count);
+          Read();
+        });
+  }
+
+  boost::asio::ip::tcp::socket socket_;
+  std::array<char, 4096> buffer_{};
+  std::string received_;
+  bool ended_ = false;
+};
+
+class ServerTest : public ::testing::Test {
+ protected:
+  ServerTest()
+      : server(loop, [this](std::shared_ptr<ServerSession> session,
+                            ServerRequest request) {
+          sessions.push_back(session);
+          requests.push_back(request);
+          if (answer) session->Respond(200, {{"X-Id", "1"}}, request.body);
+        }) {
+    address = *server.Listen({"127.0.0.1", 0});
+  }
+
+  auto Run(const std::function<bool()>& done) -> void {
+    const auto end = MonotonicNow() + std::chrono::seconds(5);
+    while (!done() && MonotonicNow() < end) {
+      loop.restart();
+      loop.run_one_for(std::chrono::milliseconds(20));
+    }
+  }
+  auto Exchange(const std::string& bytes) -> std::string {
+    RawClient client(loop, address);
+    client.Send(bytes);
+    Run([&] {
+      return client.Received().find("\r\n\r\n") != std::string::npos;
+    });
+    return client.Received().substr(0, 12);
+  }
+
+  boost::asio::io_context loop;
+  bool answer = true;
+  std::vector<std::shared_ptr<ServerSession>> sessions;
+  std::vector<ServerRequest> requests;
+  HttpServer server;
+  SocketAddress address;
+};
+
+TEST_F(ServerTest, ReadsBodiesWithLengthAndInChunks) {
+  Exchange("POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+  Exchange(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+  ASSERT_EQ(requests.size(), 2U);
+  EXPECT_EQ(requests[0].head.target, "/a?b");
+  EXPECT_EQ(requests[0].body, "abc");
+  EXPECT_EQ(requests[1].body, "abc");
+}
+
+struct BadInput {
+  std::string name;
+  std::string bytes;
+  std::string status;
+};
+
+class BadInputTest : public ServerTest,
+                     public ::testing::WithParamInterface<BadInput> {};
+
+// Guards against smuggled requests and input without bound.
+TEST_P(BadInputTest, IsRejectedAndTheConnectionClosed) {
+  server.SetLimits(
+      {2048, 1000, std::chrono::milliseconds(300), std::chrono::seconds(5)});
+  RawClient client(loop, address);
+  client.Send(GetParam().bytes);
+  Run([&] { return client.Ended(); });
+  EXPECT_EQ(client.Received().substr(9, 3), GetParam().status);
+  EXPECT_TRUE(client.Ended());
+  EXPECT_TRUE(requests.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Inputs, BadInputTest,
+    ::testing::Values(
+        BadInput{"TwoLengths",
+                 "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+                 "Content-Length: 2\r\n\r\nab",
+                 "400"},
+        BadInput{"LengthAndChunks",
+                 "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                 "400"},
+        BadInput{"Garbage", "\x01\x02 nothing\r\n\r\n", "400"},
+        // From its header: none of the body is sent.
+        BadInput{"LargeBody",
+                 "POST / HTTP/1.1\r\nContent-Length: 1000000000\r\n\r\n",
+                 "413"},
+        BadInput{"LargeHeader",
+                 "GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n",
+                 "431"},
+        BadInput{"SlowHeader", "GET / HTTP/1.1\r\nHost:", "408"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(ServerTest, AnswersRequestsThatWereSentAheadInOrder) {
+  RawClient client(loop, address);
+  client.Send(
+      "POST /1 HTTP/1.1\r\nContent-Length: 1\r\n\r\na"
+      "POST /2 HTTP/1.1\r\nContent-Length: 1\r\n\r\nb");
+  Run([&] { return requests.size() == 2; });
+  Run([&] { return client.Received().find("\r\n\r\nb") != std::string::npos; });
+  EXPECT_LT(client.Received().find("\r\n\r\na"),
+            client.Received().find("\r\n\r\nb"));
+}
+
+// Guards against upstream work for a client that has left.
+TEST_F(ServerTest, NoticesAClientThatLeaves) {
+  answer = false;
+  auto client = std::make_unique<RawClient>(loop, address);
+  client->Send("GET / HTTP/1.1\r\n\r\n");
+  Run([&] { return !sessions.empty(); });
+  bool gone = false;
+  sessions[0]->OnGone([&] { gone = true; });
+  client->Close();
+  Run([&] { return gone; });
+  EXPECT_TRUE(gone);
+}
+
+TEST_F(ServerTest, AnAbortedStreamIsNotComplete) {
+  answer = false;
+  RawClient client(loop, address);
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  Run([&] { return !sessions.empty(); });
+  sessions[0]->BeginStream(200, {}, std::nullopt);
+  sessions[0]->SendPiece("abc");
+  Run([&] { return client.Received().find("abc") != std::string::npos; });
+  sessions[0]->Abort();
+  Run([&] { return client.Ended(); });
+  EXPECT_EQ(client.Received().find("0\r\n\r\n"), std::string::npos);
+}
+
+// Guards against requests that a planned stop cuts: answers tell the client to
+// close, and a stream that began before the stop closes after its end.
+TEST_F(ServerTest, DrainTellsClientsToCloseAndEndsStreams) {
+  answer = false;
+  RawClient client(loop, address);
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  Run([&] { return !sessions.empty(); });
+  sessions[0]->BeginStream(200, {}, std::nullopt);
+  server.BeginDrain();
+  server.StopAccepting();
+  sessions[0]->SendPiece("abc");
+  sessions[0]->EndStream();
+  Run([&] { return client.Ended(); });
+  EXPECT_TRUE(client.Ended());
+  EXPECT_NE(client.Received().find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(ServerTest, AnswersDuringADrainSayClose) {
+  server.BeginDrain();
+  RawClient client(loop, address);
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  Run([&] { return client.Ended(); });
+  EXPECT_NE(client.Received().find("Connection: close"), std::string::npos);
+}
+
+TEST_F(ServerTest, ClosesAnIdleConnection) {
+  server.SetLimits(
+      {2048, 1000, std::chrono::seconds(5), std::chrono::milliseconds(100)});
+  RawClient client(loop, address);
+  Run([&] { return client.Ended(); });
+  EXPECT_TRUE(client.Ended());
+}
+
+}  // namespace
+}  // namespace dotterellug::eventhttp
