--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -27,6 +27,8 @@
 constexpr int kPatienceGaps = 8;
 // When a caller whose request found no upstream is asked to come back.
 constexpr auto kReturnAfter = std::chrono::milliseconds(1000);
+// A request that arrives before the configuration waits so long for it.
+constexpr auto kConfigurationWait = std::chrono::milliseconds(900);
 // Before the configuration is known.
 constexpr auto kReturnWhenConfigured = std::chrono::milliseconds(500);
 // A kept connection that was idle for longer is not used for a request that may
@@ -100,8 +102,16 @@
 
 auto RequestExchange::Start() -> void {
   session_->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
-  if (!Identify()) return;
   const auto now = MonotonicNow();
+  if (context_.catalog) return Begin(now);
+  // A process that has just started knows its configuration within a moment.
+  deadline_ = now + kConfigurationWait;
+  waits_for_ = "configuration";
+  Park(Waiting::kConfiguration, deadline_);
+}
+
+auto RequestExchange::Begin(Timestamp now) -> void {
+  if (!Identify()) return;
   ArmTimer();
   CountDemand();
   if (SpendTokens(now)) Dispatch(now);
@@ -184,6 +194,13 @@
 
 auto RequestExchange::Retry(Timestamp now) -> bool {
   if (done_ || waiting_ == Waiting::kNothing) return false;
+  if (waiting_ == Waiting::kConfiguration) {
+    if (!context_.catalog && now < waits_until_) return true;
+    waiting_ = Waiting::kNothing;
+    Begin(now);
+    // If it waits for something else now, it has been listed anew.
+    return false;
+  }
   if (waiting_ == Waiting::kTokens) {
     if (SpendTokens(now)) {
       Dispatch(now);
@@ -609,6 +626,9 @@
     line.Add("account", account_.Value()).Add("tokens", charged_);
   }
   if (!request_.model.Empty()) line.Add("model", request_.model.Value());
+  if (!request_.adapter.Empty()) {
+    line.Add("adapter", request_.adapter.Value());
+  }
   if (!tried_.empty()) line.Add("upstream", tried_.back().Value());
   if (catalog_) line.Add("config", catalog_->version);
 }
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -31,7 +31,7 @@
 
  private:
   // Why the request waits.
-  enum class Waiting { kNothing, kTokens, kUpstream };
+  enum class Waiting { kNothing, kConfiguration, kTokens, kUpstream };
 
   // An attempt at one upstream.
   struct Attempt {
@@ -51,6 +51,7 @@
     std::optional<std::uint64_t> length;
   };
 
+  auto Begin(Timestamp now) -> void;
   auto Identify() -> bool;
   auto CountDemand() -> void;
   auto SpendTokens(Timestamp now) -> bool;
