--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -141,9 +141,7 @@
 auto FleetNode::OnSummary(const fleet::FleetSummary& summary, Timestamp now)
     -> void {
   selector_.OnAnswer(summary.from, now);
-  for (const auto& grant : summary.grants) {
-    context_.allowances.OnGrant(grant, now);
-  }
+  TakeGrants(summary, now);
   if (summary.from != context_.settings.instance) {
     backed_at_ = now;
     link_->catch_up(summary.store_positions);
@@ -185,6 +183,13 @@
   if (!opened.adapter.Empty()) held->adapters.insert(opened.adapter);
 }
 
+auto FleetNode::TakeGrants(const fleet::FleetSummary& summary, Timestamp now)
+    -> void {
+  for (const auto& grant : summary.grants) {
+    context_.allowances.OnGrant(grant, now);
+  }
+}
+
 auto FleetNode::RetryParked(Timestamp now) -> void {
   auto parked = std::exchange(context_.parked, {});
   std::vector<std::shared_ptr<RequestExchange>> still;
@@ -245,10 +250,11 @@
   // the limits. The tokens it asked another hub for are lost if they come.
   if (own || !selector_.Connected(now)) {
     const auto summary = Answer(report, now);
-    for (const auto& grant : summary.grants) {
-      context_.allowances.OnGrant(grant, now);
+    if (own) {
+      OnSummary(summary, now);
+    } else {
+      TakeGrants(summary, now);
     }
-    if (own) OnSummary(summary, now);
   }
   RetryParked(now);
   ScheduleReport(kReportInterval);
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -75,6 +75,7 @@
       -> fleet::FleetSummary;
   auto OnNewsOf(const fleet::FleetSummary& summary, Timestamp now) -> void;
   auto OnSummary(const fleet::FleetSummary& summary, Timestamp now) -> void;
+  auto TakeGrants(const fleet::FleetSummary& summary, Timestamp now) -> void;
   auto NoteOpened(const fleet::OpenedModel& opened) -> void;
   auto Send(const boost::asio::ip::udp::endpoint& to,
             const fleet::FleetMessage& message) -> void;
--- a/modules/fleet/hub/fleet_hub.h
+++ b/modules/fleet/hub/fleet_hub.h
@@ -19,10 +19,10 @@
   Duration report_lifetime = std::chrono::milliseconds(600);
   // Part of an account's burst that hubs hand out. The rest covers tokens that
   // daemons hold ready, and a change of hub.
-  double burst_part = 0.4;
+  double burst_part = 0.6;
   // Part of the burst that comes with each daemon that begins to report, so
   // that callers are not refused in the first moments of a new hub.
-  double start_part = 0.1;
+  double start_part = 0.2;
 };
 
 // One daemon's part as a hub: sums up the reports of those that chose it and
