Retry parked requests in one place and drop what the change left unused

Cause: reading the whole change found the loop over parked requests in both FleetNode and Gateway, a pace estimate that nothing fed (its factor was always 1), an unused timer, and a removed upstream that was journaled twice, the first time at a position that may be old while the hub reads the list. Behaviour stays but for that position.

--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -164,7 +164,9 @@
     context_.closing.insert({model.upstream, model.model});
   }
   for (const auto& opened : summary.opened) NoteOpened(opened);
-  if (!summary.grants.empty() || !summary.opened.empty()) RetryParked(now);
+  if (!summary.grants.empty() || !summary.opened.empty()) {
+    context_.RetryParked(now);
+  }
 }
 
 // An engine's own entry shows a load only with its next sign of life.
@@ -190,17 +192,6 @@
   }
 }
 
-auto FleetNode::RetryParked(Timestamp now) -> void {
-  auto parked = std::exchange(context_.parked, {});
-  std::vector<std::shared_ptr<RequestExchange>> still;
-  for (auto& exchange : parked) {
-    if (exchange->Retry(now)) still.push_back(std::move(exchange));
-  }
-  // Requests that were parked meanwhile come behind.
-  for (auto& exchange : context_.parked) still.push_back(std::move(exchange));
-  context_.parked = std::move(still);
-}
-
 auto FleetNode::ScheduleReport(Duration delay) -> void {
   timer_.expires_after(delay);
   timer_.async_wait([this](boost::system::error_code error) {
@@ -256,7 +247,7 @@
       TakeGrants(summary, now);
     }
   }
-  RetryParked(now);
+  context_.RetryParked(now);
   ScheduleReport(kReportInterval);
 }
 
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -79,7 +79,6 @@
   auto NoteOpened(const fleet::OpenedModel& opened) -> void;
   auto Send(const boost::asio::ip::udp::endpoint& to,
             const fleet::FleetMessage& message) -> void;
-  auto RetryParked(Timestamp now) -> void;
 
   GatewayContext& context_;
   Incarnation incarnation_;
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -57,8 +57,7 @@
                  session->Respond(200, {{"Content-Type", "text/plain"}},
                                   context_.metrics.Text());
                }),
-      tick_(loop),
-      drain_timer_(loop) {
+      tick_(loop) {
   context_.report_now = [this] { fleet_.ReportNow(); };
   fleet_.SetStoreLink(link_);
   fleet_.OnNews([this](const fleet::UpstreamNews& news) { OnNews(news); });
@@ -169,7 +168,9 @@
       .AddMs("cold_ms", record.cold_left);
 }
 
-auto Gateway::RemoveUpstream(const UpstreamId& id, const char* cause) -> void {
+auto Gateway::RemoveUpstream(const UpstreamId& id, const char* cause,
+                             std::int64_t position) -> void {
+  fleet_.Journal().OnRemoved(id, position);
   const auto known = context_.upstreams.Find(id);
   if (!known) return;
   context_.log.Write(EventRank::kState, "upstream")
@@ -178,7 +179,6 @@
       .Add("cause", cause);
   context_.connections.Drop(known->record.address);
   context_.upstreams.Remove(id);
-  fleet_.Journal().OnRemoved(id, link_->positions()[1]);
 }
 
 // Changes that another daemon has read from the store.
@@ -191,8 +191,7 @@
   }
   for (const auto& id : news.removed) {
     lapsed_.erase(id);
-    RemoveUpstream(id, "removed_by_hub");
-    fleet_.Journal().OnRemoved(id, news.position);
+    RemoveUpstream(id, "removed_by_hub", news.position);
   }
   fleet_.Journal().OnListed(news.position);
 }
@@ -202,7 +201,9 @@
   // Counted from the return: an upstream that leaves shortly after it has its
   // own time limit.
   const auto until = store_returned_.value_or(Timestamp{}) + kReturnTime;
-  if (now >= until) return RemoveUpstream(id, "entry_removed");
+  if (now >= until) {
+    return RemoveUpstream(id, "entry_removed", link_->positions()[1]);
+  }
   lapsed_.try_emplace(id, until);
 }
 
@@ -236,7 +237,6 @@
   context_.log.Write(EventRank::kState, "members")
       .Add("count", static_cast<std::int64_t>(members.size()));
   fleet_.SetMembers(members);
-
   if (!registered_) RegisterSelf();
 }
 
@@ -268,27 +268,16 @@
       .AddMs("since_answer_ms", now - store_answered_);
 }
 
-auto Gateway::RetryParked(Timestamp now) -> void {
-  if (context_.parked.empty()) return;
-  auto parked = std::exchange(context_.parked, {});
-  std::vector<std::shared_ptr<RequestExchange>> still;
-  for (auto& exchange : parked) {
-    if (exchange->Retry(now)) still.push_back(std::move(exchange));
-  }
-  for (auto& exchange : context_.parked) still.push_back(std::move(exchange));
-  context_.parked = std::move(still);
-}
-
 auto Gateway::Tick() -> void {
   const auto now = MonotonicNow();
-  RetryParked(now);
+  context_.RetryParked(now);
   context_.log.Flush(now);
   for (auto lapsed = lapsed_.begin(); lapsed != lapsed_.end();) {
     if (now < lapsed->second || store_silent_since_) {
       ++lapsed;
       continue;
     }
-    RemoveUpstream(lapsed->first, "lapsed");
+    RemoveUpstream(lapsed->first, "lapsed", link_->positions()[1]);
     lapsed = lapsed_.erase(lapsed);
   }
   if (now - swept_at_ > kSweepInterval) {
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -50,10 +50,11 @@
   auto OnZonesOut(std::set<AvailabilityZoneId> zones) -> void;
   auto OnMembers(std::vector<Member> members) -> void;
   auto OnStoreContact(const Result<void>& result) -> void;
-  auto RemoveUpstream(const UpstreamId& id, const char* cause) -> void;
+  // `position` is the store's, at which the removal was read.
+  auto RemoveUpstream(const UpstreamId& id, const char* cause,
+                      std::int64_t position) -> void;
   auto Tick() -> void;
   auto RegisterSelf() -> void;
-  auto RetryParked(Timestamp now) -> void;
   auto FinishDrain() -> void;
 
   GatewayContext context_;
@@ -64,7 +65,6 @@
   eventhttp::HttpServer readiness_;
   eventhttp::HttpServer metrics_;
   boost::asio::steady_timer tick_;
-  boost::asio::steady_timer drain_timer_;
 
   bool upstreams_known_ = false;
   bool members_known_ = false;
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "daemon/gateway/request_exchange.h"
+
 namespace dotterellug::gateway {
 
 GatewayContext::GatewayContext(boost::asio::io_context& event_loop,
@@ -20,4 +22,16 @@
       connections(event_loop, {}),
       random(seed) {}
 
+auto GatewayContext::RetryParked(Timestamp now) -> void {
+  if (parked.empty()) return;
+  const auto waiting = std::exchange(parked, {});
+  std::vector<std::shared_ptr<RequestExchange>> still;
+  for (const auto& exchange : waiting) {
+    if (exchange->Retry(now)) still.push_back(exchange);
+  }
+  // Requests that were parked meanwhile come behind.
+  still.insert(still.end(), parked.begin(), parked.end());
+  parked = std::move(still);
+}
+
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -27,6 +27,9 @@
                  const GatewaySettings& own_settings, Dialect own_dialect,
                  std::uint64_t seed);
 
+  // Lets every parked request try to go on; those that still wait stay parked.
+  auto RetryParked(Timestamp now) -> void;
+
   boost::asio::io_context& loop;
   GatewaySettings settings;
   Dialect dialect;
--- a/modules/serving/dispatch/upstream_choice.cc
+++ b/modules/serving/dispatch/upstream_choice.cc
@@ -37,7 +37,7 @@
   // Prompts are read between the tokens of all streams, so a queue of them
   // delays the first event and widens the pauses of streams that run.
   load += upstream.PrefillTokens() / kPrefillTokensPerLoad;
-  auto cost = (load + 1 / slots) * std::max(upstream.Slowness(), 0.2);
+  auto cost = load + 1 / slots;
   cost += upstream.FailureRate() * kFailureCost;
   if (upstream.record.zone != request.zone) cost += kZoneCost;
   if (request.shared_prompt != 0) {
--- a/modules/serving/fleet/live_upstream.cc
+++ b/modules/serving/fleet/live_upstream.cc
@@ -58,11 +58,4 @@
   }
 }
 
-auto LiveUpstream::NotePace(Duration took, Duration expected) -> void {
-  if (expected <= Duration::zero()) return;
-  const auto ratio =
-      std::clamp(ToSeconds(took) / ToSeconds(expected), 0.1, 20.0);
-  slowness_ += (ratio - slowness_) * kNewestWeight;
-}
-
 }  // namespace dotterellug::serving
--- a/modules/serving/fleet/live_upstream.h
+++ b/modules/serving/fleet/live_upstream.h
@@ -84,19 +84,14 @@
   auto NoteMissing(const ModelId& model, const AdapterId& adapter) -> void;
   // Another upstream has its address; it gets no work until its next entry.
   auto NoteReplaced() -> void { record.leaving = true; }
-  // The first event or the answer took `took` where `expected` was expected.
-  auto NotePace(Duration took, Duration expected) -> void;
 
   // Part of the recent attempts that failed, 0 to 1.
   auto FailureRate() const -> double { return failure_rate_; }
-  // How much slower than expected it answers; 1 is as expected.
-  auto Slowness() const -> double { return slowness_; }
   // Whether it is left out for now because it could not be reached.
   auto Suspected(Timestamp now) const -> bool { return now < suspected_until_; }
 
  private:
   double failure_rate_ = 0;
-  double slowness_ = 1;
   int unreachable_in_a_row_ = 0;
   Timestamp suspected_until_{};
 };
