Put lapsed entries, contention and wanted adapters under tests of their own

They are now LapsedUpstreams, ContentionWait and WantedAdapters, with injected times; with the rule before (counted from the removal) CountsTheTimeFromTheReturnAndNotFromTheRemoval fails. One change of behaviour: a silence of the store counts as an outage from twice the upstreams' sign of life (2.4 s) instead of 1.5 s. Entries lapse after three missed signs, so a shorter one loses none, and a hub that was itself cut off for 1.5 to 2.4 s kept for 2 s what all others had seen leave.

--- a/daemon/gateway/gateway_settings.h
+++ b/daemon/gateway/gateway_settings.h
@@ -11,6 +11,8 @@
   // How long a holder of orders may act after its last sign; the next one waits
   // as long.
   Duration lease_ttl = std::chrono::seconds(3);
+  // How often upstreams write a sign of life to the store.
+  Duration sign_of_life = std::chrono::milliseconds(1200);
   // From the stop signal until the process is killed.
   Duration stop_grace = std::chrono::seconds(8);
   // Attempts beyond the first of each request, over all daemons and per pool.
--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -6,12 +6,6 @@
 namespace dotterellug::gateway {
 namespace {
 
-// Without a sign of a holder for this long a daemon looks at the lease; those
-// further down the common order wait longer, so that one comes first.
-constexpr auto kContendAfter = std::chrono::milliseconds(450);
-constexpr auto kContendStep = std::chrono::milliseconds(100);
-constexpr std::size_t kMostContenders = 6;
-constexpr std::string_view kContendKey = "order-lease";
 constexpr auto kPlanInterval = std::chrono::milliseconds(200);
 // Reports of engines lag by some hundred milliseconds; one that is asked for
 // sooner after an order may not show it.
@@ -73,6 +67,7 @@
       link_(std::move(link)),
       lease_(context.settings.instance,
              OrderLeaseTimes{context.settings.bounds.lease_ttl}),
+      wanted_adapters_(kWantedTime),
       started_at_(MonotonicNow()) {}
 
 auto OrderDesk::Tick() -> void {
@@ -100,21 +95,13 @@
 }
 
 auto OrderDesk::Contends(Timestamp now) const -> bool {
-  const auto& members = fleet_.Members();
-  const auto& self = context_.settings.instance;
-  if (members.count(self) == 0) return false;
-  const auto own_capacity = members.at(self).capacity;
-  const auto own = RendezvousWeight(kContendKey, self.Value());
-  std::size_t rank = 0;
-  for (const auto& [id, member] : members) {
-    const bool before = member.capacity != own_capacity
-                            ? member.capacity > own_capacity
-                            : RendezvousWeight(kContendKey, id.Value()) > own;
-    if (before) ++rank;
+  std::map<InstanceId, double> capacities;
+  for (const auto& [id, member] : fleet_.Members()) {
+    capacities[id] = member.capacity;
   }
-  if (rank >= kMostContenders) rank += kMostContenders;
-  const auto wait = kContendAfter + kContendStep * static_cast<int>(rank);
-  return now - std::max(fleet_.LeaderSeen(), started_at_) > wait;
+  const auto wait = ContentionWait(context_.settings.instance, capacities);
+  // A process that has just started has not seen anybody yet.
+  return wait && now - std::max(fleet_.LeaderSeen(), started_at_) > *wait;
 }
 
 auto OrderDesk::StepLease(Timestamp now) -> void {
@@ -266,12 +253,7 @@
   const auto members = static_cast<std::int64_t>(fleet_.Members().size());
   if (fleet_.Hub().Reporting(now) * 2 < members) return;
   for (const auto& missing : fleet_.Hub().TakeMissing()) {
-    wanted_adapters_[{missing.model, missing.adapter}] = now;
-  }
-  for (auto wanted = wanted_adapters_.begin();
-       wanted != wanted_adapters_.end();) {
-    const bool old = now - wanted->second > kWantedTime;
-    wanted = old ? wanted_adapters_.erase(wanted) : std::next(wanted);
+    wanted_adapters_.Note({missing.model, missing.adapter}, now);
   }
   for (const auto& [id, pool] : context_.catalog->Pools()) {
     if (pool.engine) PlanPool(pool, now);
@@ -281,7 +263,7 @@
 auto OrderDesk::PlanPool(const serving::ServicePool& pool, Timestamp now)
     -> void {
   PlanCopies(pool, now);
-  PlanAdapterCopies(pool);
+  PlanAdapterCopies(pool, now);
 }
 
 auto OrderDesk::PlanCopies(const serving::ServicePool& pool, Timestamp now)
@@ -363,10 +345,11 @@
   SendOrder(engine, true, step.model, AdapterId(), expected);
 }
 
-auto OrderDesk::PlanAdapterCopies(const serving::ServicePool& pool) -> void {
+auto OrderDesk::PlanAdapterCopies(const serving::ServicePool& pool,
+                                  Timestamp now) -> void {
   const auto& engines = *pool.engine;
   AdapterInput input;
-  const auto demand = fleet_.Hub().Demand(MonotonicNow());
+  const auto demand = fleet_.Hub().Demand(now);
   for (const auto& model : engines.models) {
     if (model.adapters > 0) input.adapters[model.id] = AdapterNames(model);
     const auto found = demand.find(model.id);
@@ -392,7 +375,7 @@
     }
     input.engines.push_back(std::move(adapters));
   }
-  for (const auto& [wanted, at] : wanted_adapters_) input.wanted.insert(wanted);
+  input.wanted = wanted_adapters_.Current(now);
   for (const auto& step : PlanAdapters(input)) {
     auto& engine = engines_[step.engine];
     SendOrder(engine, step.load, step.model, step.adapter, Duration(0));
@@ -420,7 +403,7 @@
 
 auto OrderDesk::OnOrderReply(const EngineOrder& order, Duration expected,
                              OrderOutcome outcome) -> void {
-  context_.metrics.Count("orders", "outcome", OutcomeName(outcome));
+  context_.metrics.Count(GatewayCounter::kOrders, OutcomeName(outcome));
   context_.log.Write(EventRank::kState, "order")
       .Add("upstream", order.upstream.Value())
       .Add("op", order.load ? "load" : "unload")
--- a/daemon/gateway/order_desk.h
+++ b/daemon/gateway/order_desk.h
@@ -14,6 +14,8 @@
 #include "daemon/gateway/gateway_context.h"
 #include "placement/copies/adapter_planner.h"
 #include "placement/copies/copy_planner.h"
+#include "placement/copies/wanted_adapters.h"
+#include "placement/lease/contention.h"
 #include "placement/lease/order_lease.h"
 
 namespace dotterellug::gateway {
@@ -30,7 +32,7 @@
   auto Tick() -> void;
   // Gives the right up; for a planned stop.
   auto Stop() -> void;
-  // An order was reported missing; plans at once.
+  // Whether this daemon holds the right to order now.
   auto Leading() const -> bool { return leading_; }
 
  private:
@@ -71,7 +73,8 @@
   auto Plan(Timestamp now) -> void;
   auto PlanPool(const serving::ServicePool& pool, Timestamp now) -> void;
   auto PlanCopies(const serving::ServicePool& pool, Timestamp now) -> void;
-  auto PlanAdapterCopies(const serving::ServicePool& pool) -> void;
+  auto PlanAdapterCopies(const serving::ServicePool& pool, Timestamp now)
+      -> void;
   auto Apply(const CopyStep& step, const serving::EngineClass& engines,
              Timestamp now) -> void;
   auto SendOrder(Engine& engine, bool load, const ModelId& model,
@@ -87,6 +90,7 @@
   std::shared_ptr<ControlLink> link_;
   OrderLease lease_;
   CopyPlanner planner_;
+  WantedAdapters wanted_adapters_;
   bool leading_ = false;
   bool stopped_ = false;
   Timestamp started_at_;
@@ -96,8 +100,6 @@
   // Loads from the weight store that may begin; refills at the store's rate.
   double store_credit_ = 0;
   Timestamp store_credit_at_{};
-  // Adapters that callers asked for and nobody held, and when.
-  std::map<std::pair<ModelId, AdapterId>, Timestamp> wanted_adapters_;
   std::vector<std::pair<Timestamp, fleet::OpenedModel>> opened_;
   // Models unloaded lately, which the engines' own entries may still show.
   std::map<std::pair<UpstreamId, ModelId>, Timestamp> closed_;
--- a/modules/placement/tests/copies_tests.cc
+++ b/modules/placement/tests/copies_tests.cc
@@ -5,6 +5,7 @@
 
 #include "placement/copies/adapter_planner.h"
 #include "placement/copies/copy_planner.h"
+#include "placement/copies/wanted_adapters.h"
 
 namespace dotterellug {
 namespace {
@@ -257,5 +258,33 @@
   EXPECT_TRUE(PlanAdapters(input).empty());
 }
 
+// Guards against room that was made for a wanted adapter and goes to another
+// one, because the caller's report was used up by the first of two orders.
+TEST(WantedAdaptersTest, AClaimOutlastsTheOrderThatMakesRoom) {
+  const auto at = [](double s) { return Timestamp(FromSeconds(1000 + s)); };
+  WantedAdapters wanted(std::chrono::seconds(4));
+  const WantedAdapters::Adapter adapter{ModelId("m"), AdapterId("a9")};
+  wanted.Note(adapter, at(0));
+  AdapterInput input;
+  AdapterEngine engine;
+  engine.id = UpstreamId("e");
+  engine.slots = 1;
+  engine.held = {{ModelId("m"), {AdapterId("a1")}}};
+  input.engines = {engine};
+  input.adapters = {
+      {ModelId("m"), {AdapterId("a1"), AdapterId("a2"), AdapterId("a9")}}};
+  input.wanted = wanted.Current(at(0));
+  auto steps = PlanAdapters(input);
+  ASSERT_EQ(steps.size(), 1U);
+  EXPECT_FALSE(steps[0].load);
+  input.engines[0].held[ModelId("m")].clear();
+  input.wanted = wanted.Current(at(0.2));
+  steps = PlanAdapters(input);
+  ASSERT_EQ(steps.size(), 1U);
+  EXPECT_TRUE(steps[0].load);
+  EXPECT_EQ(steps[0].adapter, AdapterId("a9"));
+  EXPECT_TRUE(wanted.Current(at(4.1)).empty());
+}
+
 }  // namespace
 }  // namespace dotterellug
--- a/modules/placement/tests/order_lease_tests.cc
+++ b/modules/placement/tests/order_lease_tests.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 
+#include "placement/lease/contention.h"
 #include "placement/lease/order_lease.h"
 
 namespace dotterellug {
@@ -215,5 +216,44 @@
   EXPECT_FALSE(lease.MayOrder(At(1)));
 }
 
+// Guards against a fleet in which nobody contends: a daemon that is the only
+// one left, or the former holder after its restart, must look at the lease too.
+TEST(ContentionTest, EveryRegisteredDaemonContendsInTheEnd) {
+  rc::check([] {
+    std::map<InstanceId, double> capacities;
+    const auto count = *rc::gen::inRange(1, 80);
+    for (int i = 0; i < count; ++i) {
+      capacities[InstanceId("d" + std::to_string(i))] =
+          *rc::gen::element(0.12, 0.25, 0.5);
+    }
+    std::vector<Duration> waits;
+    for (const auto& [id, capacity] : capacities) {
+      const auto wait = ContentionWait(id, capacities);
+      RC_ASSERT(wait.has_value());
+      waits.push_back(*wait);
+    }
+    std::sort(waits.begin(), waits.end());
+    RC_ASSERT(waits.front() == std::chrono::milliseconds(450));
+    // The first ones are apart in time; nobody waits for more than ten seconds.
+    for (std::size_t i = 1; i < waits.size(); ++i) {
+      RC_ASSERT(waits[i] - waits[i - 1] >= std::chrono::milliseconds(100));
+    }
+    RC_ASSERT(waits.back() <= std::chrono::seconds(10));
+    RC_ASSERT(!ContentionWait(InstanceId("other"), capacities));
+  });
+}
+
+// Guards against a small instance that holds the right to order while a large
+// one could.
+TEST(ContentionTest, LargerInstancesComeFirst) {
+  const std::map<InstanceId, double> capacities{
+      {InstanceId("a"), 0.12}, {InstanceId("b"), 0.5}, {InstanceId("c"), 0.25}};
+  const auto wait = [&](const char* id) {
+    return *ContentionWait(InstanceId(id), capacities);
+  };
+  EXPECT_LT(wait("b"), wait("c"));
+  EXPECT_LT(wait("c"), wait("a"));
+}
+
 }  // namespace
 }  // namespace dotterellug
--- /dev/null
+++ b/modules/serving/fleet/lapsed_upstreams.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/core.h"
+
+namespace dotterellug::serving {
+
+struct LapseTimes {
+  // Entries lapse after three missed signs of life, which come this often, so a
+  // shorter silence of the store than two of them loses none.
+  Duration sign_of_life = std::chrono::milliseconds(1200);
+  // Upstreams that live write their entry again within this time of the store's
+  // return.
+  Duration return_time = std::chrono::milliseconds(2000);
+};
+
+// Tells upstreams that are gone from those whose entries only lapsed while the
+// store was away. Pattern: after an outage all entries may be missing at once
+// although every upstream serves; removing them would refuse all requests.
+class LapsedUpstreams {
+ public:
+  explicit LapsedUpstreams(LapseTimes times) : times_(times) {}
+
+  // The store answered, or did not answer a call.
+  auto OnStoreAnswer(Timestamp now) -> void;
+  auto OnStoreSilence(Timestamp now) -> void;
+  // The entry of an upstream is missing. Returns whether the upstream is gone;
+  // otherwise it is kept until TakeGone returns it.
+  auto OnMissing(const UpstreamId& id, Timestamp now) -> bool;
+  // Its entry is there, or it has been removed by other means.
+  auto Forget(const UpstreamId& id) -> void { missing_.erase(id); }
+  // Upstreams whose time to come back is over.
+  auto TakeGone(Timestamp now) -> std::vector<UpstreamId>;
+
+  // Since when the store has been silent.
+  auto SilentSince() const -> std::optional<Timestamp> { return silent_since_; }
+  // When the store last answered; zero before the first time.
+  auto AnsweredAt() const -> Timestamp { return answered_at_; }
+
+ private:
+  LapseTimes times_;
+  Timestamp answered_at_{};
+  std::optional<Timestamp> silent_since_;
+  // Until when missing entries may come back; zero without an outage.
+  Timestamp until_{};
+  std::map<UpstreamId, Timestamp> missing_;
+};
+
+}  // namespace dotterellug::serving
--- a/modules/serving/serving.h
+++ b/modules/serving/serving.h
@@ -9,6 +9,7 @@
 #include "serving/catalog/serving_catalog.h"
 #include "serving/dispatch/cold_gate.h"
 #include "serving/dispatch/upstream_choice.h"
+#include "serving/fleet/lapsed_upstreams.h"
 #include "serving/fleet/live_upstream.h"
 #include "serving/fleet/upstream_table.h"
 #include "serving/request/service_request.h"
--- a/modules/serving/tests/serving_tests.cc
+++ b/modules/serving/tests/serving_tests.cc
@@ -260,5 +260,77 @@
   EXPECT_FALSE(upstream.Holds(ModelId("m"), AdapterId()));
 }
 
+// Guards against upstreams that are dropped, all at once, because their entries
+// lapsed while the store was away.
+TEST(LapsedUpstreamsTest, KeepsWhatLapsedUntilTheStoreHasBeenBackForAWhile) {
+  LapsedUpstreams lapsed({});
+  lapsed.OnStoreAnswer(At(0));
+  lapsed.OnStoreSilence(At(0.5));
+  lapsed.OnStoreAnswer(At(5));
+  EXPECT_FALSE(lapsed.OnMissing(UpstreamId("u"), At(5)));
+  EXPECT_FALSE(lapsed.OnMissing(UpstreamId("v"), At(5)));
+  lapsed.Forget(UpstreamId("v"));
+  EXPECT_TRUE(lapsed.TakeGone(At(6.9)).empty());
+  EXPECT_EQ(lapsed.TakeGone(At(7)), std::vector{UpstreamId("u")});
+  EXPECT_TRUE(lapsed.TakeGone(At(9)).empty());
+}
+
+// Guards against a leaving upstream that gets work for seconds because it left
+// shortly after the store's return (seen as DRAIN, 2,122 and 4,345 ms).
+TEST(LapsedUpstreamsTest, CountsTheTimeFromTheReturnAndNotFromTheRemoval) {
+  LapsedUpstreams lapsed({});
+  lapsed.OnStoreAnswer(At(0));
+  lapsed.OnStoreSilence(At(0.5));
+  lapsed.OnStoreAnswer(At(5));
+  EXPECT_FALSE(lapsed.OnMissing(UpstreamId("u"), At(6.8)));
+  EXPECT_EQ(lapsed.TakeGone(At(7)), std::vector{UpstreamId("u")});
+  EXPECT_TRUE(lapsed.OnMissing(UpstreamId("v"), At(7.1)));
+}
+
+// Guards against a daemon that was itself cut off for a moment and then keeps
+// for two seconds what the others have seen leave.
+TEST(LapsedUpstreamsTest, AShortSilenceLosesNoEntries) {
+  LapsedUpstreams lapsed({});
+  lapsed.OnStoreAnswer(At(0));
+  lapsed.OnStoreSilence(At(0.5));
+  lapsed.OnStoreAnswer(At(2.3));
+  EXPECT_TRUE(lapsed.OnMissing(UpstreamId("u"), At(2.4)));
+}
+
+// Guards against removals during a second outage that follows the first.
+TEST(LapsedUpstreamsTest, RemovesNothingWhileTheStoreIsAwayAgain) {
+  LapsedUpstreams lapsed({});
+  lapsed.OnStoreAnswer(At(0));
+  lapsed.OnStoreSilence(At(0.5));
+  lapsed.OnStoreAnswer(At(5));
+  EXPECT_FALSE(lapsed.OnMissing(UpstreamId("u"), At(5.1)));
+  lapsed.OnStoreSilence(At(6));
+  EXPECT_TRUE(lapsed.TakeGone(At(8)).empty());
+  lapsed.OnStoreAnswer(At(9));
+  EXPECT_EQ(lapsed.TakeGone(At(9.1)), std::vector{UpstreamId("u")});
+}
+
+// An upstream whose entry is missing is removed at the latest when the time of
+// return is over and the store answers, and never before it.
+TEST(LapsedUpstreamsTest, EveryMissingUpstreamIsRemovedInTime) {
+  rc::check([] {
+    const LapseTimes times;
+    LapsedUpstreams lapsed(times);
+    lapsed.OnStoreAnswer(At(0));
+    const auto away = *rc::gen::inRange(2500, 20'000);
+    const auto back = Timestamp(At(0) + milliseconds(away));
+    lapsed.OnStoreSilence(At(0.1));
+    lapsed.OnStoreAnswer(back);
+    const auto missing = back + milliseconds(*rc::gen::inRange(0, 4000));
+    const auto until = back + times.return_time;
+    const UpstreamId id("u");
+    const bool at_once = lapsed.OnMissing(id, missing);
+    RC_ASSERT(at_once == (missing >= until));
+    if (at_once) return;
+    RC_ASSERT(lapsed.TakeGone(until - milliseconds(1)).empty());
+    RC_ASSERT(lapsed.TakeGone(until).size() == 1U);
+  });
+}
+
 }  // namespace
 }  // namespace dotterellug::serving
