Write a line for each decision, serve latency histograms, and explain a request

Cause: on-call engineers have logs and metrics only. The log had the end of each request but neither where it was sent and why, nor what it waited for, nor the choice of a hub, stalls of the process, changes of the clock and reloads; the metrics address had no histograms. Now: request_waits, request_sent (with the load that decided and its age), hub_chosen, upstream_suspected, loop_stalled, clock_changed, reloaded; up_ms on each line, which no change of the clock moves; lines are flushed 4 ms after the first, so that a killed process has written what it decided. GatewayMetrics is on prometheus-cpp with histograms for each account and route, bounded at 64 values. dotterellugctl explain REQUEST-ID FILE... tells a request's timeline over all instances and the cause as a sentence; clocks are aligned by what several instances noted at the same moment. The pages' tables of events, metrics and causes are checked by tests. Calls to the store and to engines share eventhttp's buffered call.

--- a/client/commands/command_table.cc
+++ b/client/commands/command_table.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <sstream>
 
+#include "client/commands/explain_command.h"
 #include "client/commands/file_commands.h"
 #include "client/commands/key_commands.h"
 #include "client/commands/section_commands.h"
@@ -75,6 +76,7 @@
     for (auto& command : ZoneCommands()) all.push_back(std::move(command));
     all.push_back(WaitCommand());
     all.push_back(StatusCommand());
+    all.push_back(ExplainCommand());
     all.push_back({"completion",
                    "bash",
                    "print a shell completion script",
--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -40,6 +40,8 @@
   std::function<void(std::set<AvailabilityZoneId>)> on_zones_out;
   std::function<void(std::vector<Member>)> on_members;
   std::function<void(const Result<void>&)> on_store_contact;
+  // A call to the store ended; `call` is its method and result.
+  std::function<void(const std::string& call)> on_store_call;
   // The store answered about upstreams, or did not.
   std::function<void(bool answered)> on_upstream_contact;
   // Something from the platform could not be used; for the log.
--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -141,6 +141,7 @@
 auto FleetNode::OnSummary(const fleet::FleetSummary& summary, Timestamp now)
     -> void {
   selector_.OnAnswer(summary.from, now);
+  context_.hub_answered_at = now;
   TakeGrants(summary, now);
   if (summary.from != context_.settings.instance) {
     backed_at_ = now;
@@ -231,6 +232,14 @@
   reported_at_ = now;
   const auto report = MakeReport(now);
   const auto hub = selector_.Choose(now);
+  if (hub != hub_chosen_) {
+    context_.log.Write(EventRank::kState, "hub_chosen")
+        .Add("hub", hub.Value())
+        .Add("before", hub_chosen_.Value())
+        .Add("leader", leader_.Value())
+        .AddMs("answer_age_ms", now - context_.hub_answered_at);
+    hub_chosen_ = hub;
+  }
   const auto member = members_.find(hub);
   const bool own = hub == context_.settings.instance;
   if (!own && member != members_.end()) {
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -103,6 +103,8 @@
   Timestamp reported_at_{};
   Timestamp leader_seen_{};
   bool report_soon_ = false;
+  // The hub of the last report.
+  InstanceId hub_chosen_;
   InstanceId leader_;
   std::int64_t leader_fence_ = 0;
   bool leading_ = false;
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -13,17 +13,15 @@
 constexpr auto kOrderInterval = std::chrono::milliseconds(90);
 constexpr auto kSweepInterval = std::chrono::seconds(1);
 constexpr auto kRegistrationRetry = std::chrono::milliseconds(700);
-// Entries of upstreams lapse after three missed signs of life, so a shorter
-// silence of the store loses none.
-constexpr auto kLapseAfter = std::chrono::milliseconds(1500);
-// Upstreams that live write their entry again within this time of the store's
-// return.
-constexpr auto kReturnTime = std::chrono::milliseconds(2000);
 // After the stop signal the balancer goes on sending new connections until it
 // has seen two answers that this daemon is not ready, a second apart.
 constexpr auto kStopAccepting = std::chrono::milliseconds(2600);
 // Time kept at the end of the grace period for leaving in order.
 constexpr auto kStopReserve = std::chrono::milliseconds(400);
+// A pause of the event loop, or a change of the time of day, that is worth a
+// log line: longer than a few ticks.
+constexpr auto kStall = std::chrono::milliseconds(400);
+constexpr auto kClockJump = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -54,10 +52,12 @@
       metrics_(loop,
                [this](const std::shared_ptr<eventhttp::ServerSession>& session,
                       const eventhttp::ServerRequest&) {
+                 SetLevels();
                  session->Respond(200, {{"Content-Type", "text/plain"}},
                                   context_.metrics.Text());
                }),
-      tick_(loop) {
+      tick_(loop),
+      lapsed_({settings.bounds.sign_of_life}) {
   context_.report_now = [this] { fleet_.ReportNow(); };
   fleet_.SetStoreLink(link_);
   fleet_.OnNews([this](const fleet::UpstreamNews& news) { OnNews(news); });
@@ -106,8 +106,12 @@
   events.on_store_contact = [this](const Result<void>& result) {
     OnStoreContact(result);
   };
+  events.on_store_call = [this](const std::string& call) {
+    context_.metrics.Count(GatewayCounter::kStoreCalls, call);
+  };
   events.on_bad_entry = [this](const Error& error) {
-    context_.metrics.Count("bad_entries", "kind", ErrorKindName(error.kind));
+    context_.metrics.Count(GatewayCounter::kBadEntries,
+                           ErrorKindName(error.kind));
     context_.log.Write(EventRank::kFailure, "entry_skipped")
         .Add("error", error.Text());
   };
@@ -119,6 +123,9 @@
   const auto current = context_.catalog ? context_.catalog->version : -1;
   if (catalog->version <= current) return;
   LogAccountChanges(*catalog);
+  const auto keys_before =
+      context_.catalog ? static_cast<std::int64_t>(context_.catalog->KeyCount())
+                       : 0;
   context_.catalog = std::move(catalog);
   const auto& limits = context_.catalog->limits;
   callers_.SetLimits({limits.header_bytes, limits.body_bytes,
@@ -127,11 +134,15 @@
   for (const auto& [id, account] : context_.catalog->Accounts()) {
     fleet_.Hub().Prepare(id, now);
   }
-  context_.metrics.Set("config_version",
+  context_.metrics.Set(GatewayLevel::kConfigVersion,
                        static_cast<double>(context_.catalog->version));
   context_.log.Write(EventRank::kState, "config_in_force")
       .Add("config", context_.catalog->version)
-      .Add("before", current);
+      .Add("before", current)
+      .Add("accounts",
+           static_cast<std::int64_t>(context_.catalog->Accounts().size()))
+      .Add("keys", static_cast<std::int64_t>(context_.catalog->KeyCount()))
+      .Add("keys_before", keys_before);
 }
 
 // Limits decide refusals, so each change of one has a line.
@@ -154,7 +165,7 @@
 }
 
 auto Gateway::OnUpstream(const serving::UpstreamRecord& record) -> void {
-  lapsed_.erase(record.id);
+  lapsed_.Forget(record.id);
   const auto known = context_.upstreams.Find(record.id);
   const bool news = !known || known->record.leaving != record.leaving ||
                     known->record.started_ms != record.started_ms;
@@ -190,21 +201,15 @@
     OnUpstream(record);
   }
   for (const auto& id : news.removed) {
-    lapsed_.erase(id);
+    lapsed_.Forget(id);
     RemoveUpstream(id, "removed_by_hub", news.position);
   }
   fleet_.Journal().OnListed(news.position);
 }
 
 auto Gateway::OnUpstreamGone(const UpstreamId& id) -> void {
-  const auto now = MonotonicNow();
-  // Counted from the return: an upstream that leaves shortly after it has its
-  // own time limit.
-  const auto until = store_returned_.value_or(Timestamp{}) + kReturnTime;
-  if (now >= until) {
-    return RemoveUpstream(id, "entry_removed", link_->positions()[1]);
-  }
-  lapsed_.try_emplace(id, until);
+  if (!lapsed_.OnMissing(id, MonotonicNow())) return;
+  RemoveUpstream(id, "entry_removed", link_->positions()[1]);
 }
 
 auto Gateway::OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void {
@@ -249,45 +254,79 @@
 
 auto Gateway::OnStoreContact(const Result<void>& result) -> void {
   const auto now = MonotonicNow();
+  const auto silent_since = lapsed_.SilentSince();
   if (result) {
-    const bool away =
-        store_silent_since_.has_value() && now - store_answered_ > kLapseAfter;
-    if (away) store_returned_ = now;
-    if (store_silent_since_) {
+    if (silent_since) {
       context_.log.Write(EventRank::kState, "store_regained")
-          .AddMs("silent_ms", now - *store_silent_since_);
+          .AddMs("silent_ms", now - *silent_since);
     }
-    store_silent_since_.reset();
-    store_answered_ = now;
-    return;
+    return lapsed_.OnStoreAnswer(now);
   }
-  if (store_silent_since_) return;
-  store_silent_since_ = now;
+  if (silent_since) return;
+  lapsed_.OnStoreSilence(now);
   context_.log.Write(EventRank::kState, "store_lost")
       .Add("error", result.error().Text())
-      .AddMs("since_answer_ms", now - store_answered_);
+      .AddMs("since_answer_ms", now - lapsed_.AnsweredAt());
+}
+
+// The state that is read off when metrics are asked for.
+auto Gateway::SetLevels() -> void {
+  const auto now = MonotonicNow();
+  auto& metrics = context_.metrics;
+  const auto age = [&](Timestamp last) {
+    return last == Timestamp{} ? -1 : ToSeconds(now - last);
+  };
+  metrics.Set(GatewayLevel::kOpenRequests,
+              static_cast<double>(context_.open_requests));
+  metrics.Set(GatewayLevel::kWaitingRequests,
+              static_cast<double>(context_.parked.size()));
+  metrics.Set(GatewayLevel::kUpstreams,
+              static_cast<double>(context_.upstreams.All().size()));
+  metrics.Set(GatewayLevel::kMembers,
+              static_cast<double>(fleet_.Members().size()));
+  metrics.Set(GatewayLevel::kOrderLeaseHeld, orders_.Leading() ? 1 : 0);
+  metrics.Set(GatewayLevel::kStoreAnswerAge, age(lapsed_.AnsweredAt()));
+  metrics.Set(GatewayLevel::kHubAnswerAge, age(context_.hub_answered_at));
+}
+
+auto Gateway::Reload() -> void {
+  context_.log.Write(EventRank::kState, "reloaded")
+      .Add("changes", "none: addresses are fixed while the process runs")
+      .Add("config", context_.catalog ? context_.catalog->version : -1);
+}
+
+// Notes when the loop has not run for a while, as after a freeze of the
+// process, and when the time of day has been changed.
+auto Gateway::NoteClocks(Timestamp now) -> void {
+  const auto wall = WallNow();
+  if (ticked_at_ != Timestamp{}) {
+    const Duration passed = now - ticked_at_;
+    const Duration jump = (wall - ticked_wall_) - passed;
+    if (passed > kStall) {
+      context_.log.Write(EventRank::kState, "loop_stalled")
+          .AddMs("stalled_ms", passed);
+    }
+    if (std::chrono::abs(jump) > kClockJump) {
+      context_.log.Write(EventRank::kState, "clock_changed")
+          .AddMs("by_ms", jump);
+    }
+  }
+  ticked_at_ = now;
+  ticked_wall_ = wall;
 }
 
 auto Gateway::Tick() -> void {
   const auto now = MonotonicNow();
+  NoteClocks(now);
   context_.RetryParked(now);
   context_.log.Flush(now);
-  for (auto lapsed = lapsed_.begin(); lapsed != lapsed_.end();) {
-    if (now < lapsed->second || store_silent_since_) {
-      ++lapsed;
-      continue;
-    }
-    RemoveUpstream(lapsed->first, "lapsed", link_->positions()[1]);
-    lapsed = lapsed_.erase(lapsed);
+  for (const auto& id : lapsed_.TakeGone(now)) {
+    RemoveUpstream(id, "lapsed", link_->positions()[1]);
   }
   if (now - swept_at_ > kSweepInterval) {
     swept_at_ = now;
     context_.connections.Sweep(now);
     context_.cold_gate.Sweep(now);
-    context_.metrics.Set("open_requests",
-                         static_cast<double>(context_.open_requests));
-    context_.metrics.Set("log_lines_dropped",
-                         static_cast<double>(context_.log.Dropped()));
   }
   if (members_known_ && !registered_ &&
       now - registration_tried_ > kRegistrationRetry) {
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -4,7 +4,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -37,6 +36,8 @@
   // The loop ends when that is done.
   auto Drain() -> void;
   auto Ready() const -> bool;
+  // The settings may have changed.
+  auto Reload() -> void;
 
  private:
   auto Events() -> ControlEvents;
@@ -54,6 +55,8 @@
   auto RemoveUpstream(const UpstreamId& id, const char* cause,
                       std::int64_t position) -> void;
   auto Tick() -> void;
+  auto SetLevels() -> void;
+  auto NoteClocks(Timestamp now) -> void;
   auto RegisterSelf() -> void;
   auto FinishDrain() -> void;
 
@@ -77,13 +80,11 @@
   Timestamp registration_tried_{};
   Timestamp swept_at_{};
   Timestamp ordered_at_{};
-  // The store's answers: since when it has been silent, and when it returned
-  // from a silence in which entries may have lapsed.
-  Timestamp store_answered_{};
-  std::optional<Timestamp> store_silent_since_;
-  std::optional<Timestamp> store_returned_;
-  // Upstreams that lapsed while the store was away and may come back.
-  std::map<UpstreamId, Timestamp> lapsed_;
+  // The last tick, on the monotonic clock and as time of day.
+  Timestamp ticked_at_{};
+  WallTime ticked_wall_{};
+  // What the store's silence means for upstreams whose entries are missing.
+  serving::LapsedUpstreams lapsed_;
 };
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -7,6 +7,13 @@
 #include "daemon/gateway/request_exchange.h"
 
 namespace dotterellug::gateway {
+namespace {
+
+// Lines of one turn of the event loop, and of the next few, are written
+// together.
+constexpr auto kLogDelay = std::chrono::milliseconds(4);
+
+}  // namespace
 
 GatewayContext::GatewayContext(boost::asio::io_context& event_loop,
                                const GatewaySettings& own_settings,
@@ -20,7 +27,18 @@
                own_settings.bounds.repeat_slack,
                own_settings.bounds.repeat_window}),
       connections(event_loop, {}),
-      random(seed) {}
+      random(seed),
+      log_timer(event_loop) {
+  log.OnBuffered([this] {
+    log_timer.expires_after(kLogDelay);
+    log_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) log.Flush(MonotonicNow());
+    });
+  });
+  log.OnDropped([this](const std::string& event) {
+    metrics.Count(GatewayCounter::kDroppedLines, event);
+  });
+}
 
 auto GatewayContext::RetryParked(Timestamp now) -> void {
   if (parked.empty()) return;
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -56,6 +57,11 @@
   // Reports to the hub at once, because a request waits for its answer.
   std::function<void()> report_now;
   std::int64_t open_requests = 0;
+  // When a hub last told the load of other daemons; zero before the first time.
+  Timestamp hub_answered_at{};
+  // Writes buffered log lines shortly after the first of them, so that a
+  // process that is killed has written what it decided.
+  boost::asio::steady_timer log_timer;
 };
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -1,37 +1,196 @@
 #include "daemon/gateway/gateway_metrics.h"
 
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <map>
+
+#include "telemetry/metrics/latency_buckets.h"
+
 namespace dotterellug::gateway {
 namespace {
 
-constexpr std::string_view kPrefix = "dotterellug_gateway_";
+// Different values of a label with series of their own. A histogram takes about
+// a kilobyte.
+constexpr std::size_t kMostValues = 64;
+
+struct Name {
+  const char* name;
+  const char* label;
+  const char* help;
+};
+
+const std::array<Name, 7> kCounters{{
+    {"dotterellug_gateway_requests_total", "outcome",
+     "Requests that ended: ok, refused, failed or cancelled."},
+    {"dotterellug_gateway_causes_total", "cause",
+     "Requests that did not end well, by the cause in their log line."},
+    {"dotterellug_gateway_repeats_total", "cause",
+     "Attempts after the first one of a request, by what ended the one "
+     "before."},
+    {"dotterellug_gateway_orders_total", "outcome",
+     "Orders to engines, by their outcome."},
+    {"dotterellug_gateway_bad_entries_total", "kind",
+     "Objects in the store that cannot be used, by the kind of error."},
+    {"dotterellug_gateway_store_calls_total", "call",
+     "Calls to the store, by method and result."},
+    {"dotterellug_gateway_log_lines_dropped_total", "event",
+     "Log lines that did not fit the bounds, by event."},
+}};
+
+const std::array<Name, 8> kLevels{{
+    {"dotterellug_gateway_config_version", "",
+     "Version of the configuration in force."},
+    {"dotterellug_gateway_open_requests", "",
+     "Requests whose answer is not complete."},
+    {"dotterellug_gateway_waiting_requests", "",
+     "Requests that wait for tokens or for an upstream."},
+    {"dotterellug_gateway_upstreams", "", "Upstreams that are known."},
+    {"dotterellug_gateway_members", "", "Registered daemons."},
+    {"dotterellug_gateway_order_lease_held", "",
+     "1 while this daemon may order loads."},
+    {"dotterellug_gateway_store_answer_age_seconds", "",
+     "Time since the store last answered this daemon."},
+    {"dotterellug_gateway_hub_answer_age_seconds", "",
+     "Time since a hub last answered this daemon."},
+}};
+
+const std::array<Name, 4> kLatencies{{
+    {"dotterellug_gateway_first_answer_seconds", "account",
+     "Time from arrival to the first event of a stream or to a whole answer."},
+    {"dotterellug_gateway_request_seconds", "account",
+     "Time from arrival to the end of the answer."},
+    {"dotterellug_gateway_wait_seconds", "route",
+     "Time that a request waited for tokens or for an upstream."},
+    {"dotterellug_gateway_longest_pause_seconds", "route",
+     "Longest pause between two events of a stream."},
+}};
+
+// The series of one family by the value of its label. Asking prometheus-cpp for
+// one builds and hashes a map of labels each time.
+template <class Series>
+using SeriesMap = std::map<std::string, Series*, std::less<>>;
+
+auto Describe(const Name& name, MetricKind kind) -> MetricDescription {
+  MetricDescription description{name.name, kind, name.help, {}};
+  if (*name.label != '\0') description.labels.emplace_back(name.label);
+  return description;
+}
 
 }  // namespace
 
-auto GatewayMetrics::Count(std::string_view name, std::string_view label,
-                           std::string_view value) -> void {
-  std::string key(kPrefix);
-  key += name;
-  key += "_total{";
-  key += label;
-  key += "=\"";
-  key += value;
-  key += "\"}";
-  ++counters_[key];
+class GatewayMetrics::Implementation {
+ public:
+  Implementation() {
+    for (std::size_t i = 0; i < kCounters.size(); ++i) {
+      counters_[i].family = &prometheus::BuildCounter()
+                                 .Name(kCounters[i].name)
+                                 .Help(kCounters[i].help)
+                                 .Register(registry_);
+    }
+    for (std::size_t i = 0; i < kLevels.size(); ++i) {
+      levels_[i] = &prometheus::BuildGauge()
+                        .Name(kLevels[i].name)
+                        .Help(kLevels[i].help)
+                        .Register(registry_)
+                        .Add({});
+    }
+    for (std::size_t i = 0; i < kLatencies.size(); ++i) {
+      latencies_[i].family = &prometheus::BuildHistogram()
+                                  .Name(kLatencies[i].name)
+                                  .Help(kLatencies[i].help)
+                                  .Register(registry_);
+    }
+  }
+
+  auto Count(std::size_t index, std::string_view value, double amount) -> void {
+    const auto add = [&](const std::string& bounded) {
+      return &counters_[index].family->Add({{kCounters[index].label, bounded}});
+    };
+    Find(counters_[index].series, value, add)->Increment(amount);
+  }
+
+  auto Set(std::size_t index, double value) -> void {
+    levels_[index]->Set(value);
+  }
+
+  auto Observe(std::size_t index, std::string_view value, Duration duration)
+      -> void {
+    const auto add = [&](const std::string& bounded) {
+      return &latencies_[index].family->Add(
+          {{kLatencies[index].label, bounded}}, LatencyBuckets());
+    };
+    Find(latencies_[index].series, value, add)->Observe(ToSeconds(duration));
+  }
+
+  auto Text() const -> std::string {
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+  }
+
+ private:
+  template <class Series>
+  struct Family {
+    prometheus::Family<Series>* family = nullptr;
+    SeriesMap<Series> series;
+  };
+
+  template <class Series, class Add>
+  static auto Find(SeriesMap<Series>& series, std::string_view value,
+                   const Add& add) -> Series* {
+    const auto found = series.find(value);
+    if (found != series.end()) return found->second;
+    const auto bounded =
+        std::string(series.size() < kMostValues ? value : "other");
+    auto& entry = series[bounded];
+    if (entry == nullptr) entry = add(bounded);
+    return entry;
+  }
+
+  prometheus::Registry registry_;
+  std::array<Family<prometheus::Counter>, kCounters.size()> counters_;
+  std::array<prometheus::Gauge*, kLevels.size()> levels_{};
+  std::array<Family<prometheus::Histogram>, kLatencies.size()> latencies_;
+};
+
+GatewayMetrics::GatewayMetrics()
+    : implementation_(std::make_unique<Implementation>()) {}
+
+GatewayMetrics::~GatewayMetrics() = default;
+
+auto GatewayMetrics::Count(GatewayCounter counter, std::string_view value,
+                           double amount) -> void {
+  implementation_->Count(static_cast<std::size_t>(counter), value, amount);
+}
+
+auto GatewayMetrics::Set(GatewayLevel level, double value) -> void {
+  implementation_->Set(static_cast<std::size_t>(level), value);
 }
 
-auto GatewayMetrics::Set(std::string_view name, double value) -> void {
-  gauges_[std::string(kPrefix) + std::string(name)] = value;
+auto GatewayMetrics::Observe(GatewayLatency latency, std::string_view value,
+                             Duration duration) -> void {
+  implementation_->Observe(static_cast<std::size_t>(latency), value, duration);
 }
 
 auto GatewayMetrics::Text() const -> std::string {
-  std::string text;
-  for (const auto& [name, value] : counters_) {
-    text += name + " " + std::to_string(value) + "\n";
+  return implementation_->Text();
+}
+
+auto GatewayMetrics::Descriptions() -> std::vector<MetricDescription> {
+  std::vector<MetricDescription> all;
+  all.reserve(kCounters.size() + kLevels.size() + kLatencies.size());
+  for (const auto& name : kCounters) {
+    all.push_back(Describe(name, MetricKind::kCounter));
+  }
+  for (const auto& name : kLevels) {
+    all.push_back(Describe(name, MetricKind::kGauge));
   }
-  for (const auto& [name, value] : gauges_) {
-    text += name + " " + std::to_string(value) + "\n";
+  for (const auto& name : kLatencies) {
+    all.push_back(Describe(name, MetricKind::kHistogram));
   }
-  return text;
+  return all;
 }
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -1,24 +1,76 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "core/core.h"
+#include "telemetry/metrics/metrics.h"
 
 namespace dotterellug::gateway {
 
-// Counters of one gateway, in Prometheus' text format. Used by one thread.
+// What a gateway counts. Each has one label; see GatewayMetrics::Descriptions.
+enum class GatewayCounter {
+  kRequests,
+  kCauses,
+  kRepeats,
+  kOrders,
+  kBadEntries,
+  kStoreCalls,
+  kDroppedLines,
+};
+
+// What a gateway states as it is now.
+enum class GatewayLevel {
+  kConfigVersion,
+  kOpenRequests,
+  kWaitingRequests,
+  kUpstreams,
+  kMembers,
+  kOrderLeaseHeld,
+  kStoreAnswerAge,
+  kHubAnswerAge,
+};
+
+// Durations of requests, as histograms.
+enum class GatewayLatency {
+  // From arrival to the first event of a stream or to a whole answer, for each
+  // client account.
+  kFirstAnswer,
+  // From arrival to the end, for each client account.
+  kTotal,
+  // Time that a request waited for tokens or for an upstream, for each route.
+  kWait,
+  // Longest pause between two events of a stream, for each route.
+  kLongestPause,
+};
+
+// Metrics of one gateway, in Prometheus' text format. Used by one thread.
 class GatewayMetrics {
  public:
-  // Counts one event of a kind, such as ("requests", "outcome", "ok").
-  auto Count(std::string_view name, std::string_view label,
-             std::string_view value) -> void;
-  auto Set(std::string_view name, double value) -> void;
+  GatewayMetrics();
+  GatewayMetrics(const GatewayMetrics&) = delete;
+  auto operator=(const GatewayMetrics&) -> GatewayMetrics& = delete;
+  ~GatewayMetrics();
+
+  // Counts one event of a kind, such as (kRequests, "ok").
+  auto Count(GatewayCounter counter, std::string_view value, double amount = 1)
+      -> void;
+  auto Set(GatewayLevel level, double value) -> void;
+  // `value` is the account or the route; beyond a number of different ones it
+  // is counted as "other".
+  auto Observe(GatewayLatency latency, std::string_view value,
+               Duration duration) -> void;
+  // The page of GET /metrics.
   auto Text() const -> std::string;
 
+  // All families; docs/OPERATIONS.md is checked against them.
+  static auto Descriptions() -> std::vector<MetricDescription>;
+
  private:
-  std::map<std::string, std::int64_t> counters_;
-  std::map<std::string, double> gauges_;
+  class Implementation;
+  std::unique_ptr<Implementation> implementation_;
 };
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -94,6 +94,7 @@
       session_(std::move(session)),
       http_(std::move(request)),
       arrival_(http_.received_at),
+      trace_(context, arrival_),
       timer_(context.loop) {
   ++context_.open_requests;
 }
@@ -187,6 +188,7 @@
 
 auto RequestExchange::Park(Waiting reason, Timestamp until) -> void {
   const bool listed = waiting_ != Waiting::kNothing;
+  if (reason != waiting_) trace_.Waits(request_.id, waits_for_, until);
   waiting_ = reason;
   waits_until_ = until;
   if (!listed) context_.parked.push_back(shared_from_this());
@@ -315,6 +317,8 @@
   ++ran_;
   tried_.push_back(upstream->record.id);
   const auto tokens = request_.size ? request_.size->Total() : 0;
+  trace_.Sent(request_.id, sent_, *upstream, deadline_ - now,
+              catalog_->version);
   upstream->requests += 1;
   upstream->tokens += tokens;
   AttemptFields fields;
@@ -453,10 +457,14 @@
     session_->SendPiece(piece);
   } else {
     const auto whole = events_.Feed(piece);
-    if (!whole.empty() && !attempt.first_event_seen) {
-      attempt.first_event_seen = true;
-      attempt.upstream->NoteSuccess(MonotonicNow());
-      EndPrefill();
+    if (!whole.empty()) {
+      const auto now = MonotonicNow();
+      trace_.Passed(now);
+      if (!attempt.first_event_seen) {
+        attempt.first_event_seen = true;
+        attempt.upstream->NoteSuccess(now);
+        EndPrefill();
+      }
     }
     session_->SendPiece(whole);
   }
@@ -516,6 +524,7 @@
   const auto fields = std::move(attempt_->fields);
   const auto body = std::move(attempt_->body);
   CloseAttempt();
+  trace_.Passed(MonotonicNow());
   session_->Respond(status, fields, body);
   Finish(status / 100 == 2 ? "ok" : "failed",
          status / 100 == 2 ? "" : "upstream_answer", status);
@@ -527,7 +536,14 @@
   const bool unsent = end == ExchangeEnd::kNotSent;
   if (unsent) --ran_;
   if (end == ExchangeEnd::kNotSent || end == ExchangeEnd::kNoResponse) {
+    const bool known = upstream->Suspected(now);
     upstream->NoteUnreachable(now);
+    if (!known && upstream->Suspected(now)) {
+      context_.log.Write(EventRank::kState, "upstream_suspected")
+          .Add("upstream", upstream->record.id.Value())
+          .Add("request", request_.id.Value())
+          .Add("cause", unsent ? "no_connection" : "no_response");
+    }
   } else {
     upstream->NoteFailure(now);
   }
@@ -587,7 +603,7 @@
       .Add("to", upstream ? (*upstream)->record.id.Value() : "")
       .Add("after_event", answering_ ? events_.LastEvent().value_or(-1) : -1);
   if (!upstream) return false;
-  context_.metrics.Count("repeats", "cause", cause);
+  context_.metrics.Count(GatewayCounter::kRepeats, cause);
   SendTo(*upstream, now);
   return true;
 }
@@ -610,27 +626,17 @@
   timer_.cancel();
   session_->OnGone(nullptr);
   session_->OnDrained(nullptr);
-  context_.metrics.Count("requests", "outcome", outcome);
-  if (*cause != '\0') context_.metrics.Count("causes", "cause", cause);
-  const bool good = *cause == '\0';
-  auto line = context_.log.Write(
-      good ? EventRank::kRoutine : EventRank::kFailure, "request_ended");
-  line.Add("request", request_.id.Value())
-      .Add("outcome", outcome)
-      .Add("status", status)
-      .Add("sent", sent_)
-      .AddMs("took_ms", MonotonicNow() - arrival_);
-  if (!good) line.Add("cause", cause);
-  if (route_ != nullptr) line.Add("route", route_->name);
-  if (!account_.Empty()) {
-    line.Add("account", account_.Value()).Add("tokens", charged_);
-  }
-  if (!request_.model.Empty()) line.Add("model", request_.model.Value());
-  if (!request_.adapter.Empty()) {
-    line.Add("adapter", request_.adapter.Value());
-  }
-  if (!tried_.empty()) line.Add("upstream", tried_.back().Value());
-  if (catalog_) line.Add("config", catalog_->version);
+  RequestEnd end{request_};
+  end.route = route_;
+  end.account = account_;
+  end.charged_tokens = charged_;
+  if (catalog_) end.config = catalog_->version;
+  end.sent = sent_;
+  if (!tried_.empty()) end.upstream = tried_.back();
+  end.outcome = outcome;
+  end.cause = cause;
+  end.status = status;
+  trace_.Ended(end);
 }
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -8,6 +8,7 @@
 
 #include "core/core.h"
 #include "daemon/gateway/gateway_context.h"
+#include "daemon/gateway/request_trace.h"
 
 namespace dotterellug::gateway {
 
@@ -104,6 +105,7 @@
   ClientAccountId account_;
   int priority_ = 5;
   Timestamp arrival_;
+  RequestTrace trace_;
   Timestamp deadline_;
   std::int64_t charged_ = 0;
 
--- /dev/null
+++ b/daemon/gateway/request_trace.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/core.h"
+#include "daemon/gateway/gateway_context.h"
+
+namespace dotterellug::gateway {
+
+// What is known of a request at its end.
+struct RequestEnd {
+  const serving::ServiceRequest& request;
+  // Null when no route was found.
+  const serving::ServiceRoute* route = nullptr;
+  // Empty without a key.
+  ClientAccountId account;
+  std::int64_t charged_tokens = 0;
+  // Version of the configuration that decided; -1 if none was known.
+  std::int64_t config = -1;
+  // Attempts made, and the upstream of the last one; empty if none.
+  int sent = 0;
+  UpstreamId upstream;
+  // "ok", "refused", "failed" or "cancelled".
+  const char* outcome = "";
+  // Empty when all went well.
+  const char* cause = "";
+  // 0 when the connection was closed instead of an answer.
+  int status = 0;
+};
+
+// Writes the log lines of one request and observes its latencies.
+class RequestTrace {
+ public:
+  RequestTrace(GatewayContext& context, Timestamp arrival)
+      : context_(context), arrival_(arrival) {}
+
+  // It waits for `reason` until `until` at the latest.
+  auto Waits(const RequestId& request, const char* reason, Timestamp until)
+      -> void;
+  // An attempt leaves for `upstream`, whose load decided.
+  auto Sent(const RequestId& request, int attempt,
+            const serving::LiveUpstream& upstream, Duration time_left,
+            std::int64_t config) -> void;
+  // The answer, or an event of it, was passed on.
+  auto Passed(Timestamp now) -> void;
+  auto Ended(const RequestEnd& end) -> void;
+
+ private:
+  auto StopWaiting(Timestamp now) -> void;
+  auto Observe(const RequestEnd& end, Timestamp now) -> void;
+
+  GatewayContext& context_;
+  Timestamp arrival_;
+  // Zero while it does not wait.
+  Timestamp waits_since_{};
+  Duration waited_{0};
+  Timestamp first_passed_{};
+  Timestamp last_passed_{};
+  Duration longest_pause_{0};
+};
+
+}  // namespace dotterellug::gateway
--- /dev/null
+++ b/modules/eventhttp/client/buffered_call.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "core/core.h"
+#include "eventhttp/client/connection_pool.h"
+
+namespace dotterellug::eventhttp {
+
+// The answer to a call, kept until it is complete.
+struct BufferedAnswer {
+  ExchangeEnd end = ExchangeEnd::kNoResponse;
+  // 0 if there was no response.
+  int status = 0;
+  std::string body;
+};
+
+// How one call is made.
+struct CallOptions {
+  // Without a complete answer for this long the call ends as kNoResponse and
+  // its connection is closed.
+  Duration timeout{0};
+  // A kept connection that was idle for longer is not used.
+  Duration max_idle{0};
+};
+
+// Sends the bytes of `request` to `address` and hands over the whole answer,
+// once. For small answers of the platform; nothing bounds their size.
+auto CallBuffered(boost::asio::io_context& loop, ConnectionPool& connections,
+                  const SocketAddress& address, std::string request,
+                  const CallOptions& options,
+                  std::function<void(const BufferedAnswer&)> on_answer) -> void;
+
+}  // namespace dotterellug::eventhttp
--- a/modules/eventhttp/client/client_connection.cc
+++ b/modules/eventhttp/client/client_connection.cc
@@ -52,7 +52,6 @@
   reusable_ = false;
   request_sent_ = false;
   paused_ = false;
-  ++exchanges_;
   StartParser();
   if (connected_) {
     Send();
--- a/modules/eventhttp/client/client_connection.h
+++ b/modules/eventhttp/client/client_connection.h
@@ -56,7 +56,6 @@
 
   // Whether another exchange may follow.
   auto Reusable() const -> bool { return reusable_ && !closed_; }
-  auto Used() const -> bool { return exchanges_ > 0; }
   auto Address() const -> const SocketAddress& { return address_; }
   // Watches an unused connection: whatever arrives on it, or its end, closes it
   // and calls `on_lost`.
@@ -88,7 +87,6 @@
   ExchangeHandlers handlers_;
   std::function<void()> on_lost_;
   std::optional<Duration> server_idle_timeout_;
-  int exchanges_ = 0;
   bool connected_ = false;
   bool closed_ = false;
   bool active_ = false;
--- a/modules/eventhttp/client/connection_pool.cc
+++ b/modules/eventhttp/client/connection_pool.cc
@@ -19,7 +19,6 @@
     }
     idle.connection->Cancel();
   }
-  ++opened_;
   return std::make_shared<ClientConnection>(loop_, address);
 }
 
--- a/modules/eventhttp/client/connection_pool.h
+++ b/modules/eventhttp/client/connection_pool.h
@@ -36,8 +36,6 @@
   // Closes connections that have been idle too long.
   auto Sweep(Timestamp now) -> void;
 
-  auto Opened() const -> std::int64_t { return opened_; }
-
  private:
   struct Idle {
     std::shared_ptr<ClientConnection> connection;
@@ -50,7 +48,6 @@
   boost::asio::io_context& loop_;
   ConnectionPoolOptions options_;
   std::map<SocketAddress, std::vector<Idle>> idle_;
-  std::int64_t opened_ = 0;
 };
 
 }  // namespace dotterellug::eventhttp
--- a/modules/eventhttp/eventhttp.h
+++ b/modules/eventhttp/eventhttp.h
@@ -6,6 +6,7 @@
 // Boost.Asio's. Needs: core, Boost. Everything here belongs to the thread that
 // runs the event loop.
 
+#include "eventhttp/client/buffered_call.h"
 #include "eventhttp/client/client_connection.h"
 #include "eventhttp/client/connection_pool.h"
 #include "eventhttp/message/head.h"
--- a/modules/eventhttp/server/http_server.h
+++ b/modules/eventhttp/server/http_server.h
@@ -58,7 +58,6 @@
   auto StopAccepting() -> void;
   // Connections with a request that has not been answered completely.
   auto BusySessions() const -> std::size_t;
-  auto Sessions() const -> std::size_t { return sessions_.size(); }
 
  private:
   friend class ServerSession;
--- a/modules/serving/catalog/serving_catalog.h
+++ b/modules/serving/catalog/serving_catalog.h
@@ -132,6 +132,8 @@
   auto FindAccount(const std::string& key) const -> const ServiceAccount*;
   auto FindAccount(const ClientAccountId& id) const -> const ServiceAccount*;
   auto FindPool(const PoolId& id) const -> const ServicePool*;
+  // Keys of all accounts together.
+  auto KeyCount() const -> std::size_t { return keys_.size(); }
   auto Pools() const -> const std::map<PoolId, ServicePool>& { return pools_; }
   auto Accounts() const -> const std::map<ClientAccountId, ServiceAccount>& {
     return accounts_;
--- a/modules/telemetry/events/event_log.cc
+++ b/modules/telemetry/events/event_log.cc
@@ -42,6 +42,7 @@
   text_ += FormatWallTime(WallNow());
   text_ += R"(","instance":)";
   AppendQuoted(text_, log->instance_);
+  AddMs("up_ms", MonotonicNow() - log->started_at_);
   Add("event", event);
 }
 
@@ -85,7 +86,8 @@
     : descriptor_(descriptor),
       instance_(std::move(instance)),
       options_(options),
-      credit_(static_cast<double>(options.bytes_per_second)) {}
+      credit_(static_cast<double>(options.bytes_per_second)),
+      started_at_(MonotonicNow()) {}
 
 auto EventLog::Append(EventRank rank, const std::string& event,
                       std::string text) -> void {
@@ -100,10 +102,13 @@
       static_cast<double>(buffer_.size()) + size > room) {
     ++dropped_[event];
     ++dropped_total_;
+    if (on_dropped_) on_dropped_(event);
     return;
   }
   credit_ -= size;
+  const bool first = buffer_.empty();
   buffer_ += text;
+  if (first && on_buffered_) on_buffered_();
 }
 
 auto EventLog::NoteDropped() -> void {
--- a/modules/telemetry/events/event_log.h
+++ b/modules/telemetry/events/event_log.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "core/core.h"
 
@@ -64,6 +65,15 @@
   auto Write(EventRank rank, std::string_view event) -> Line {
     return Line(this, rank, event);
   }
+  // Called when a first line is buffered, so that it can be flushed soon.
+  auto OnBuffered(std::function<void()> handler) -> void {
+    on_buffered_ = std::move(handler);
+  }
+  // Called with the event of each line that is left out.
+  auto OnDropped(std::function<void(const std::string& event)> handler)
+      -> void {
+    on_dropped_ = std::move(handler);
+  }
   // Hands buffered lines to the kernel as far as it takes them at once, and
   // notes what was left out. Call several times a second.
   auto Flush(Timestamp now) -> void;
@@ -85,6 +95,10 @@
   Timestamp credited_at_{};
   std::map<std::string, std::int64_t> dropped_;
   std::int64_t dropped_total_ = 0;
+  // Lines state the time since then, which no change of the clock moves.
+  Timestamp started_at_;
+  std::function<void()> on_buffered_;
+  std::function<void(const std::string&)> on_dropped_;
 };
 
 }  // namespace dotterellug
--- a/modules/telemetry/metrics/metric_table.cc
+++ b/modules/telemetry/metrics/metric_table.cc
@@ -1,7 +1,5 @@
 #include "telemetry/metrics/metric_table.h"
 
-#include "telemetry/metrics/metrics.h"
-
 namespace dotterellug {
 namespace {
 
@@ -28,9 +26,10 @@
 
 }  // namespace
 
-auto MetricsMarkdown() -> std::string {
+auto MetricsMarkdown(const std::vector<MetricDescription>& families)
+    -> std::string {
   std::string text = "| name | kind | labels | meaning |\n|---|---|---|---|\n";
-  for (const auto& metric : Metrics::Descriptions()) {
+  for (const auto& metric : families) {
     text += "| `" + metric.name + "` | " + KindName(metric.kind) + " | " +
             LabelsText(metric) + " | " + metric.help + " |\n";
   }
--- a/modules/telemetry/metrics/metric_table.h
+++ b/modules/telemetry/metrics/metric_table.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include <string>
+#include <vector>
+
+#include "telemetry/metrics/metrics.h"
 
 namespace dotterellug {
 
-// The table of docs/operations/metrics.md in Markdown, one row per family of
-// Metrics::Descriptions.
-auto MetricsMarkdown() -> std::string;
+// The families as a table in Markdown, one row each; pages of the documentation
+// contain it.
+auto MetricsMarkdown(const std::vector<MetricDescription>& families)
+    -> std::string;
 
 }  // namespace dotterellug
--- a/modules/telemetry/metrics/metrics.cc
+++ b/modules/telemetry/metrics/metrics.cc
@@ -10,6 +10,7 @@
 #include <sstream>
 
 #include "telemetry/metrics/label_limit.h"
+#include "telemetry/metrics/latency_buckets.h"
 
 namespace dotterellug {
 namespace {
@@ -70,11 +71,6 @@
      "Time from arrival to the end of the response."},
 }};
 
-auto Boundaries() -> prometheus::Histogram::BucketBoundaries {
-  return {0.001, 0.002, 0.005, 0.01, 0.02, 0.031, 0.05, 0.1,  0.2,
-          0.35,  0.57,  1.0,   2.0,  5.0,  10.0,  30.0, 120.0};
-}
-
 using HistogramFamily = prometheus::Family<prometheus::Histogram>;
 
 }  // namespace
@@ -138,7 +134,7 @@
     histograms_[histogram]
         ->Add({{"account", accounts_.Bound(account)},
                {"class", std::string(priority)}},
-              Boundaries())
+              LatencyBuckets())
         .Observe(ToSeconds(duration));
   }
 
--- a/modules/telemetry/tests/operations_pages_tests.cc
+++ b/modules/telemetry/tests/operations_pages_tests.cc
@@ -81,10 +81,11 @@
 
 // Guards against a metric that is added, renamed or removed without the page.
 TEST(OperationsPagesTest, MetricsPageContainsTheGeneratedTable) {
-  EXPECT_NE(ReadPage("metrics.md").find("\n" + MetricsMarkdown() + "\n"),
+  EXPECT_NE(ReadPage("metrics.md")
+                .find("\n" + MetricsMarkdown(Metrics::Descriptions()) + "\n"),
             std::string::npos)
       << "replace the table by:\n"
-      << MetricsMarkdown();
+      << MetricsMarkdown(Metrics::Descriptions());
 }
 
 // Guards against an alert that never fires because its metric does not exist,
