--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -92,7 +92,10 @@
   // Whether to read the list of upstreams from the store; when that begins
   // again, the list is read whole.
   std::function<void(bool)> follow_upstreams;
-  std::function<void(const Member&)> register_member;
+  // The reply tells whether the registration was written; the list of members
+  // shows it a little later.
+  std::function<void(const Member&, std::function<void(const Result<void>&)>)>
+      register_member;
   std::function<void(const Member&)> remove_member;
   // nullopt means that there is none.
   std::function<void(
--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -91,6 +91,7 @@
   if (news.too_old || news.position == 0) return;
   if (summary.store_age <= kFreshStore) {
     news_current_at_ = std::max(news_current_at_, now - summary.store_age);
+    on_store_answered_(now - summary.store_age);
   }
   if (news.position > journal_.Position()) on_news_(news);
 }
@@ -133,7 +134,8 @@
   summary.closing = closing_;
   summary.opened = opened_;
   summary.store_positions = link_->positions();
-  summary.store_age = now - upstreams_read_at_;
+  summary.store_age =
+      holds_back_ ? kNewsLifetime : Duration(now - upstreams_read_at_);
   summary.news = journal_.Since(report.upstream_position);
   return summary;
 }
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -40,6 +40,13 @@
   auto SetOpened(std::vector<fleet::OpenedModel> opened) -> void {
     opened_ = std::move(opened);
   }
+  // Whether this daemon keeps upstreams that may be gone. Others then judge for
+  // themselves, since they may know that the store was never away.
+  auto SetHoldsBack(bool holds_back) -> void { holds_back_ = holds_back; }
+  // Where it is told that the store answered another daemon, and when.
+  auto OnStoreAnswered(std::function<void(Timestamp)> handler) -> void {
+    on_store_answered_ = std::move(handler);
+  }
   auto SetStoreLink(std::shared_ptr<ControlLink> link) -> void {
     link_ = std::move(link);
   }
@@ -93,6 +100,8 @@
   Timestamp backed_at_{};
   fleet::UpstreamJournal journal_;
   std::function<void(const fleet::UpstreamNews&)> on_news_;
+  std::function<void(Timestamp)> on_store_answered_;
+  bool holds_back_ = false;
   // When the store last answered this daemon about upstreams.
   Timestamp upstreams_read_at_{};
   // When the hub's news were last known to be current.
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -12,7 +12,11 @@
 constexpr auto kIdleTick = std::chrono::milliseconds(100);
 constexpr auto kOrderInterval = std::chrono::milliseconds(90);
 constexpr auto kSweepInterval = std::chrono::seconds(1);
-constexpr auto kRegistrationRetry = std::chrono::milliseconds(700);
+// A registration that failed is written again after this time.
+constexpr auto kRegistrationRetry = std::chrono::milliseconds(300);
+// One that was written is shown by the watch of members within this time, also
+// if that is deaf for a moment.
+constexpr auto kRegistrationShown = std::chrono::seconds(3);
 // After the stop signal the balancer goes on sending new connections until it
 // has seen two answers that this daemon is not ready, a second apart.
 constexpr auto kStopAccepting = std::chrono::milliseconds(2600);
@@ -60,6 +64,8 @@
       lapsed_({settings.bounds.sign_of_life}) {
   context_.report_now = [this] { fleet_.ReportNow(); };
   fleet_.SetStoreLink(link_);
+  fleet_.OnStoreAnswered(
+      [this](Timestamp at) { lapsed_.OnAnswerElsewhere(at); });
   fleet_.OnNews([this](const fleet::UpstreamNews& news) { OnNews(news); });
 }
 
@@ -208,7 +214,9 @@
 }
 
 auto Gateway::OnUpstreamGone(const UpstreamId& id) -> void {
-  if (!lapsed_.OnMissing(id, MonotonicNow())) return;
+  if (!lapsed_.OnMissing(id, MonotonicNow())) {
+    return fleet_.SetHoldsBack(true);
+  }
   RemoveUpstream(id, "entry_removed", link_->positions()[1]);
 }
 
@@ -242,14 +250,21 @@
   context_.log.Write(EventRank::kState, "members")
       .Add("count", static_cast<std::int64_t>(members.size()));
   fleet_.SetMembers(members);
-  if (!registered_) RegisterSelf();
+  RegisterSelf();
 }
 
 auto Gateway::RegisterSelf() -> void {
-  if (draining_) return;
-  registration_tried_ = MonotonicNow();
-  link_->register_member({context_.settings.instance, context_.settings.peers,
-                          context_.settings.capacity, 0});
+  const auto now = MonotonicNow();
+  if (draining_ || registered_ || now < registration_due_) return;
+  registration_due_ = now + kRegistrationShown;
+  const Member self{context_.settings.instance, context_.settings.peers,
+                    context_.settings.capacity, 0};
+  link_->register_member(self, [this](const Result<void>& result) {
+    if (result) return;
+    registration_due_ = MonotonicNow() + kRegistrationRetry;
+    context_.log.Write(EventRank::kState, "registration_failed")
+        .Add("error", result.error().Text());
+  });
 }
 
 auto Gateway::OnStoreContact(const Result<void>& result) -> void {
@@ -328,14 +343,12 @@
     context_.connections.Sweep(now);
     context_.cold_gate.Sweep(now);
   }
-  if (members_known_ && !registered_ &&
-      now - registration_tried_ > kRegistrationRetry) {
-    RegisterSelf();
-  }
+  if (members_known_) RegisterSelf();
   if (now - ordered_at_ >= kOrderInterval) {
     ordered_at_ = now;
     orders_.Tick();
   }
+  fleet_.SetHoldsBack(lapsed_.HoldsBack());
   link_->set_backed(fleet_.Backed());
   const bool follow = !fleet_.HasNews();
   if (follow != following_) {
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -77,7 +77,8 @@
   // Whether this daemon reads the list of upstreams from the store itself.
   bool following_ = true;
   std::optional<Timestamp> drain_started_;
-  Timestamp registration_tried_{};
+  // When to write the registration unless the list of members shows it.
+  Timestamp registration_due_{};
   Timestamp swept_at_{};
   Timestamp ordered_at_{};
   // The last tick, on the monotonic clock and as time of day.
--- a/modules/serving/fleet/lapsed_upstreams.h
+++ b/modules/serving/fleet/lapsed_upstreams.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -27,6 +28,12 @@
   // The store answered, or did not answer a call.
   auto OnStoreAnswer(Timestamp now) -> void;
   auto OnStoreSilence(Timestamp now) -> void;
+  // The store answered another daemon at that time. What matters is whether
+  // upstreams reached the store, so this shortens the silence of a daemon whose
+  // own calls are rare.
+  auto OnAnswerElsewhere(Timestamp at) -> void {
+    answered_at_ = std::max(answered_at_, at);
+  }
   // The entry of an upstream is missing. Returns whether the upstream is gone;
   // otherwise it is kept until TakeGone returns it.
   auto OnMissing(const UpstreamId& id, Timestamp now) -> bool;
@@ -35,6 +42,8 @@
   // Upstreams whose time to come back is over.
   auto TakeGone(Timestamp now) -> std::vector<UpstreamId>;
 
+  // Whether some upstreams may be gone and are kept.
+  auto HoldsBack() const -> bool { return !missing_.empty(); }
   // Since when the store has been silent.
   auto SilentSince() const -> std::optional<Timestamp> { return silent_since_; }
   // When the store last answered; zero before the first time.
--- a/modules/serving/tests/serving_tests.cc
+++ b/modules/serving/tests/serving_tests.cc
@@ -297,6 +297,19 @@
   EXPECT_TRUE(lapsed.OnMissing(UpstreamId("u"), At(2.4)));
 }
 
+// Guards against a daemon whose watches wait for many seconds and that takes
+// one failed call for an outage as long as its last wait: it would keep what
+// left.
+TEST(LapsedUpstreamsTest, AnAnswerToAnotherDaemonEndsTheSilenceBeforeIt) {
+  LapsedUpstreams lapsed({});
+  lapsed.OnStoreAnswer(At(0));
+  lapsed.OnAnswerElsewhere(At(12));
+  lapsed.OnStoreSilence(At(13));
+  lapsed.OnStoreAnswer(At(13.2));
+  EXPECT_TRUE(lapsed.OnMissing(UpstreamId("u"), At(13.2)));
+  EXPECT_FALSE(lapsed.HoldsBack());
+}
+
 // Guards against removals during a second outage that follows the first.
 TEST(LapsedUpstreamsTest, RemovesNothingWhileTheStoreIsAwayAgain) {
   LapsedUpstreams lapsed({});
