--- /dev/null
+++ b/extras/soak/backend.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "eventhttp/eventhttp.h"
+#include "soak/ledger.h"
+#include "soak/platform_store.h"
+
+namespace dotterellug::soak {
+
+// What an upstream is when it starts.
+struct BackendPlan {
+  std::string id;
+  std::string pool;
+  std::string zone;
+  std::int64_t slots = 8;
+  // Models that it holds; empty for a plain service.
+  std::vector<std::string> models;
+};
+
+// How an upstream misbehaves.
+struct BackendFaults {
+  // Part of the requests whose connection breaks after they began to run.
+  double broken_part = 0;
+  // Part of the answers that are failures of its own.
+  double failed_part = 0;
+  // Time added to each answer.
+  Duration delay{0};
+};
+
+// A stand-in of a registered upstream. It notes what runs and which orders it
+// accepts, and answers with bytes by which a caller can tell whether an answer
+// is whole.
+class Backend {
+ public:
+  using Clock = std::function<Seconds()>;
+
+  Backend(boost::asio::io_context& loop, PlatformStore& store, Ledger& ledger,
+          Clock clock, BackendPlan plan, std::uint64_t seed);
+
+  // Where it listens; daemons may be told the address of a proxy instead.
+  auto Address() const -> const SocketAddress& { return address_; }
+  auto Register(const SocketAddress& address) -> void;
+  auto SetFaults(const BackendFaults& faults) -> void { faults_ = faults; }
+  // Announces that it leaves, and later that it is gone.
+  auto Leave() -> void;
+  auto Gone() -> void;
+  auto Plan() const -> const BackendPlan& { return plan_; }
+
+  // The body and the events of the answer to a request.
+  static auto Body(const std::string& request) -> std::string {
+    return "answer to " + request;
+  }
+  static auto Event(const std::string& request, int number) -> std::string {
+    return "id: " + std::to_string(number) + "\ndata: " + request + " " +
+           std::to_string(number) + "\n\n";
+  }
+  static constexpr int kEvents = 12;
+
+ private:
+  using Session = std::shared_ptr<eventhttp::ServerSession>;
+
+  auto Handle(const Session& session, const eventhttp::ServerRequest& request)
+      -> void;
+  auto Serve(const Session& session, const eventhttp::ServerRequest& request,
+             const std::string& id) -> void;
+  auto SendEvents(const Session& session, const std::string& id, int number)
+      -> void;
+  auto Report(const Session& session) -> void;
+  auto TakeOrder(const Session& session, const std::string& body) -> void;
+  auto WriteEntry() -> void;
+  auto After(Duration delay, std::function<void()> then) -> void;
+
+  boost::asio::io_context& loop_;
+  PlatformStore& store_;
+  Ledger& ledger_;
+  Clock clock_;
+  BackendPlan plan_;
+  Random random_;
+  BackendFaults faults_;
+  eventhttp::HttpServer server_;
+  SocketAddress address_;
+  SocketAddress registered_;
+  std::int64_t started_ms_;
+  bool leaving_ = false;
+  std::int64_t sequence_ = 0;
+  std::int64_t highest_fence_ = 0;
+  bool busy_ = false;
+  std::map<std::string, bool> models_;
+  std::int64_t running_ = 0;
+};
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/callers.cc
@@ -0,0 +1,151 @@
+#include "soak/callers.h"
+
+#include <utility>
+
+#include "platform/wire/names.h"
+#include "soak/backend.h"
+
+namespace dotterellug::soak {
+namespace {
+
+constexpr Seconds kCallLimit = 2;
+constexpr Seconds kStreamLimit = 5;
+
+auto PathOf(CallKind kind) -> std::string {
+  switch (kind) {
+    case CallKind::kOnce:
+      return "/once/x";
+    case CallKind::kRepeatable:
+      return "/read/x";
+    case CallKind::kStream:
+      return "/stream/x";
+  }
+  return "/";
+}
+
+// What a whole answer to the request consists of.
+auto Expected(CallKind kind, const std::string& id) -> std::string {
+  if (kind != CallKind::kStream) return Backend::Body(id);
+  std::string events;
+  for (int i = 1; i <= Backend::kEvents; ++i) events += Backend::Event(id, i);
+  return events;
+}
+
+}  // namespace
+
+struct Callers::Call {
+  std::size_t record = 0;
+  CallRecord facts;
+  std::string model;
+  Connection connection;
+  std::string body;
+};
+
+Callers::Callers(boost::asio::io_context& loop, Ledger& ledger,
+                 std::function<Seconds()> clock, std::uint64_t seed)
+    : loop_(loop),
+      ledger_(ledger),
+      clock_(std::move(clock)),
+      random_(seed),
+      timer_(loop),
+      prefix_("s" + std::to_string(seed) + "-") {}
+
+auto Callers::Start(Duration pause) -> void {
+  pause_ = pause;
+  kept_.resize(targets.size());
+  timer_.expires_after(pause_);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    SendOne();
+    Start(pause_);
+  });
+}
+
+auto Callers::Choose() -> std::optional<std::size_t> {
+  const auto first = random_.Below(targets.size());
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    const auto index = (first + i) % targets.size();
+    if (targets[index].takes_connections || !kept_[index].empty()) return index;
+  }
+  return std::nullopt;
+}
+
+auto Callers::Bytes(const Call& call) const -> std::string {
+  const auto& facts = call.facts;
+  std::string bytes =
+      "GET " + PathOf(facts.kind) + " HTTP/1.1\r\nHost: soak\r\n";
+  const auto add = [&](std::string_view name, const std::string& value) {
+    bytes += std::string(name) + ": " + value + "\r\n";
+  };
+  add(platform::kRequestIdField, facts.id);
+  add(platform::kDeadlineField,
+      std::to_string(static_cast<int>(facts.time_limit * 1000)));
+  add(platform::kAuthorizationField,
+      std::string(platform::kKeyScheme) + facts.key);
+  if (!call.model.empty()) add(platform::kModelField, call.model);
+  return bytes + "\r\n";
+}
+
+auto Callers::SendOne() -> void {
+  const auto daemon = Choose();
+  if (!daemon) return;
+  const auto call = std::make_shared<Call>();
+  auto& facts = call->facts;
+  facts.id = prefix_ + std::to_string(++sent_);
+  facts.kind = static_cast<CallKind>(random_.Below(3));
+  const auto& key = keys[random_.Below(keys.size())];
+  facts.account = key.account;
+  facts.key = key.key;
+  facts.tokens = 1;
+  facts.daemon = *daemon;
+  facts.sent_at = clock_();
+  const bool stream = facts.kind == CallKind::kStream;
+  facts.time_limit = stream ? kStreamLimit : kCallLimit;
+  if (stream) call->model = models[random_.Below(models.size())];
+  auto& kept = kept_[*daemon];
+  while (!kept.empty() && !call->connection) {
+    if (kept.back()->Reusable()) call->connection = kept.back();
+    kept.pop_back();
+  }
+  if (!call->connection) {
+    if (!targets[*daemon].takes_connections) return;
+    call->connection = std::make_shared<eventhttp::ClientConnection>(
+        loop_, targets[*daemon].address);
+  }
+  call->record = ledger_.calls.size();
+  ledger_.calls.push_back(facts);
+  eventhttp::ExchangeHandlers handlers;
+  handlers.on_head = [this, call](eventhttp::ResponseHead& head) {
+    OnHead(*call, head);
+    return eventhttp::HeadVerdict::kAccept;
+  };
+  handlers.on_body = [call](std::string_view piece) { call->body += piece; };
+  handlers.on_end = [this, call](eventhttp::ExchangeEnd end) {
+    OnEnd(call, end);
+  };
+  call->connection->Exchange(Bytes(*call), std::move(handlers));
+}
+
+auto Callers::OnHead(Call& call, const eventhttp::ResponseHead& head) -> void {
+  auto& record = ledger_.calls[call.record];
+  record.status = head.status;
+  record.has_receipt =
+      FindField(head.fields, platform::kReceiptField) != nullptr;
+}
+
+auto Callers::OnEnd(const std::shared_ptr<Call>& call,
+                    eventhttp::ExchangeEnd end) -> void {
+  auto& record = ledger_.calls[call->record];
+  record.ended_at = clock_();
+  const bool complete = end == eventhttp::ExchangeEnd::kComplete;
+  record.looks_complete = complete;
+  record.whole = call->body == Expected(record.kind, record.id);
+  // Nothing was sent: a refusal to connect, not an unanswered request.
+  if (end == eventhttp::ExchangeEnd::kNotSent) record.status = 503;
+  if (complete && call->connection->Reusable()) {
+    kept_[record.daemon].push_back(call->connection);
+  }
+  call->connection.reset();
+}
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/daemon_process.cc
@@ -0,0 +1,59 @@
+#include "soak/daemon_process.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+
+#include "platform/wire/names.h"
+
+namespace dotterellug::soak {
+
+DaemonProcess::~DaemonProcess() {
+  if (process_ <= 0) return;
+  ::kill(process_, SIGKILL);
+  ::waitpid(process_, nullptr, 0);
+}
+
+auto DaemonProcess::Start() -> Result<void> {
+  const auto variable =
+      std::string(platform::kSettingsVariable) + "=" + plan_.settings_file;
+  const auto child = ::fork();
+  if (child < 0) {
+    return Fail(ErrorKind::kUnavailable,
+                std::string("cannot start a process: ") + std::strerror(errno),
+                "start fewer daemons");
+  }
+  if (child == 0) {
+    const int log = ::open(plan_.log_file.c_str(),
+                           O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    std::string platform = "--platform";
+    std::array<char*, 3> arguments{plan_.program.data(), platform.data(),
+                                   nullptr};
+    auto setting = variable;
+    std::array<char*, 2> environment{setting.data(), nullptr};
+    ::execve(plan_.program.c_str(), arguments.data(), environment.data());
+    ::_exit(127);
+  }
+  process_ = child;
+  return {};
+}
+
+auto DaemonProcess::Signal(int number) -> void {
+  if (process_ > 0) ::kill(process_, number);
+}
+
+auto DaemonProcess::Running() -> bool {
+  if (process_ <= 0) return false;
+  if (::waitpid(process_, nullptr, WNOHANG) != process_) return true;
+  process_ = -1;
+  return false;
+}
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/daemon_process.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+
+#include "core/core.h"
+
+namespace dotterellug::soak {
+
+// Where one daemon finds its settings and writes its log.
+struct DaemonPlan {
+  std::string program;
+  std::string settings_file;
+  std::string log_file;
+};
+
+// A dotterellugd that this program started. Only its own process is ever
+// signalled.
+class DaemonProcess {
+ public:
+  explicit DaemonProcess(DaemonPlan plan) : plan_(std::move(plan)) {}
+  DaemonProcess(const DaemonProcess&) = delete;
+  auto operator=(const DaemonProcess&) -> DaemonProcess& = delete;
+  ~DaemonProcess();
+
+  auto Start() -> Result<void>;
+  auto Signal(int number) -> void;
+  // Notes when the process has ended; returns whether it runs.
+  auto Running() -> bool;
+
+ private:
+  DaemonPlan plan_;
+  pid_t process_ = -1;
+};
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/fault_proxy.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+
+#include "core/core.h"
+
+namespace dotterellug::soak {
+
+// What a proxy does to the bytes on its connections.
+enum class LinkMode {
+  kPass,
+  // Hands each piece on after a pause.
+  kDelay,
+  // Takes bytes and hands none on, in both directions.
+  kSilent,
+  // Hands on what callers send and nothing of what comes back.
+  kOneWay,
+};
+
+// A TCP proxy on loopback for one link. Faults act on open connections too.
+class FaultProxy {
+ public:
+  FaultProxy(boost::asio::io_context& loop, SocketAddress target);
+
+  auto Address() const -> const SocketAddress& { return address_; }
+  auto SetMode(LinkMode mode) -> void { mode_ = mode; }
+  // Closes all connections at once.
+  auto ResetAll() -> void;
+
+ private:
+  struct Link;
+
+  auto Accept() -> void;
+  auto Pump(const std::shared_ptr<Link>& link, bool back) -> void;
+  auto Forward(const std::shared_ptr<Link>& link, bool back, std::size_t size)
+      -> void;
+  auto Close(const std::shared_ptr<Link>& link) -> void;
+
+  boost::asio::io_context& loop_;
+  SocketAddress target_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  SocketAddress address_;
+  LinkMode mode_ = LinkMode::kPass;
+  std::set<std::shared_ptr<Link>> links_;
+};
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/ledger.cc
@@ -0,0 +1,190 @@
+#include "soak/ledger.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <set>
+
+namespace dotterellug::soak {
+namespace {
+
+auto Text(Seconds value) -> std::string {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f s", value);
+  return text;
+}
+
+// A failure that promises that the request did not run and will not.
+auto PromisesNotRun(int status) -> bool {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+auto Ledger::Calm(std::size_t daemon, Seconds begin, Seconds end,
+                  const std::set<FaultScope>& scopes) const -> bool {
+  return std::none_of(faults.begin(), faults.end(), [&](const auto& fault) {
+    if (scopes.count(fault.scope) == 0) return false;
+    if (fault.daemon >= 0 && static_cast<std::size_t>(fault.daemon) != daemon) {
+      return false;
+    }
+    return fault.begin <= end && fault.end >= begin - bounds.contact;
+  });
+}
+
+auto Ledger::Broken(Seconds end) const -> std::vector<std::string> {
+  Lines lines;
+  CheckRuns(lines);
+  CheckAnswers(lines);
+  CheckEnds(end, lines);
+  CheckLimits(lines);
+  CheckKeys(lines);
+  CheckOrders(lines);
+  return lines;
+}
+
+// What may run once runs once, and not at all when its refusal said so.
+auto Ledger::CheckRuns(Lines& lines) const -> void {
+  std::map<std::string, int> counts;
+  for (const auto& run : runs) ++counts[run.id];
+  std::set<std::string> known;
+  for (const auto& call : calls) {
+    known.insert(call.id);
+    const auto found = counts.find(call.id);
+    const int count = found == counts.end() ? 0 : found->second;
+    if (call.kind != CallKind::kOnce) continue;
+    if (count > 1) {
+      lines.push_back("request " + call.id + " ran " + std::to_string(count) +
+                      " times and may run once");
+    }
+    if (count > 0 && PromisesNotRun(call.status)) {
+      lines.push_back("request " + call.id + " ran and was answered " +
+                      std::to_string(call.status));
+    }
+  }
+  for (const auto& [id, count] : counts) {
+    if (known.count(id) == 0) lines.push_back("request " + id + " is unknown");
+  }
+}
+
+// A success is the upstream's own and whole, or does not look complete.
+auto Ledger::CheckAnswers(Lines& lines) const -> void {
+  for (const auto& call : calls) {
+    if (call.status / 100 != 2) continue;
+    if (!call.has_receipt) {
+      lines.push_back("request " + call.id + " has a success without receipt");
+    }
+    if (call.looks_complete && !call.whole) {
+      lines.push_back("request " + call.id +
+                      " has a success that is not whole");
+    }
+  }
+}
+
+// Every request ends in time; a planned stop ends none without an answer,
+// unless the request crossed the close of its connection and nobody ran it.
+auto Ledger::CheckEnds(Seconds end, Lines& lines) const -> void {
+  std::set<std::string> ran;
+  for (const auto& run : runs) ran.insert(run.id);
+  for (const auto& call : calls) {
+    const auto latest = call.sent_at + call.time_limit + bounds.late;
+    if (latest > end) continue;
+    const bool ended = call.ended_at >= 0;
+    const auto until = ended ? std::min(call.ended_at, latest) : latest;
+    if (!Calm(call.daemon, call.sent_at, until, {FaultScope::kProcess})) {
+      continue;
+    }
+    const bool stops =
+        !Calm(call.daemon, call.sent_at, until, {FaultScope::kPlannedStop});
+    if (!ended || call.ended_at > latest) {
+      lines.push_back("request " + call.id + " of " + Text(call.sent_at) +
+                      " had no end " + Text(bounds.late) + " after its limit");
+    } else if (call.status == 0 && !(stops && ran.count(call.id) == 0)) {
+      lines.push_back("request " + call.id + " of " + Text(call.sent_at) +
+                      " ended without an answer at daemon " +
+                      std::to_string(call.daemon));
+    }
+  }
+}
+
+// In no window do an account's runs take more than its limit allows.
+auto Ledger::CheckLimits(Lines& lines) const -> void {
+  std::map<std::string, std::int64_t> tokens;
+  for (const auto& call : calls) tokens[call.id] = call.tokens;
+  for (const auto& [account, bound] : accounts) {
+    const auto allowed =
+        (bound.per_second * bounds.limit_window + bound.burst) *
+            (1 + bounds.limit_excess) +
+        bounds.limit_slack;
+    std::deque<std::pair<Seconds, std::int64_t>> window;
+    std::int64_t sum = 0;
+    auto sorted = runs;
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [](const auto& a, const auto& b) { return a.at < b.at; });
+    double worst = 0;
+    for (const auto& run : sorted) {
+      if (run.account != account) continue;
+      window.emplace_back(run.at, tokens[run.id]);
+      sum += tokens[run.id];
+      while (window.front().first < run.at - bounds.limit_window) {
+        sum -= window.front().second;
+        window.pop_front();
+      }
+      worst = std::max(worst, static_cast<double>(sum));
+    }
+    if (worst > allowed) {
+      lines.push_back("account " + account + " used " +
+                      std::to_string(static_cast<std::int64_t>(worst)) +
+                      " tokens in a window that allows " +
+                      std::to_string(static_cast<std::int64_t>(allowed)));
+    }
+  }
+}
+
+// A removed key is refused by daemons to which nothing was done.
+auto Ledger::CheckKeys(Lines& lines) const -> void {
+  for (const auto& removal : key_removals) {
+    for (const auto& call : calls) {
+      if (call.key != removal.key) continue;
+      if (call.sent_at < removal.at + bounds.apply) continue;
+      if (call.status / 100 != 2) continue;
+      if (!Calm(call.daemon, removal.at, call.sent_at,
+                {FaultScope::kProcess, FaultScope::kPlannedStop,
+                 FaultScope::kStore})) {
+        continue;
+      }
+      lines.push_back("request " + call.id + " was served " +
+                      Text(call.sent_at - removal.at) +
+                      " after its key had been removed");
+    }
+  }
+}
+
+// One holder at a time, with fencing numbers that grow.
+auto Ledger::CheckOrders(Lines& lines) const -> void {
+  auto sorted = orders;
+  std::stable_sort(sorted.begin(), sorted.end(),
+                   [](const auto& a, const auto& b) { return a.at < b.at; });
+  const OrderRecord* last = nullptr;
+  for (const auto& order : sorted) {
+    const bool thawed =
+        std::any_of(faults.begin(), faults.end(), [&](const auto& fault) {
+          return fault.name == "pause" && order.at >= fault.begin &&
+                 order.at <= fault.end + bounds.thaw;
+        });
+    if (thawed) continue;
+    if (last != nullptr && last->holder != order.holder) {
+      if (order.at - last->at < bounds.lease) {
+        lines.push_back("orders of " + last->holder + " and " + order.holder +
+                        " are " + Text(order.at - last->at) + " apart");
+      }
+      if (order.fence <= last->fence) {
+        lines.push_back("the fencing number of " + order.holder +
+                        " is not above that of " + last->holder);
+      }
+    }
+    last = &order;
+  }
+}
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/ledger.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dotterellug::soak {
+
+// Seconds since the run began.
+using Seconds = double;
+
+// What may be done with a request, from the route's kind.
+enum class CallKind { kOnce, kRepeatable, kStream };
+
+// A request as its caller saw it.
+struct CallRecord {
+  std::string id;
+  CallKind kind = CallKind::kOnce;
+  std::string account;
+  std::string key;
+  std::int64_t tokens = 0;
+  // The daemon that took it, by index.
+  std::size_t daemon = 0;
+  Seconds sent_at = 0;
+  Seconds time_limit = 0;
+  // Negative while nothing has ended it.
+  Seconds ended_at = -1;
+  // 0 when the connection closed without an answer.
+  int status = 0;
+  bool has_receipt = false;
+  // The body is the upstream's, or the stream's events are complete and in
+  // order.
+  bool whole = false;
+  // The answer's end was framed as complete.
+  bool looks_complete = false;
+};
+
+// A request as an upstream saw it.
+struct RunRecord {
+  std::string id;
+  std::string account;
+  std::string upstream;
+  Seconds at = 0;
+};
+
+// An order that an engine accepted.
+struct OrderRecord {
+  std::string engine;
+  std::string holder;
+  std::int64_t fence = 0;
+  Seconds at = 0;
+};
+
+enum class FaultScope {
+  // A daemon's process was killed or paused: its requests may be lost.
+  kProcess,
+  // A daemon was told to stop: it must lose nothing.
+  kPlannedStop,
+  // The store, or the link to it: what daemons know may be old, but requests
+  // are answered.
+  kStore,
+  // An upstream or the link to it: requests may fail, with an answer.
+  kUpstream,
+};
+
+// A time during which something was done to the system.
+struct FaultRecord {
+  std::string name;
+  FaultScope scope = FaultScope::kProcess;
+  // Index of the daemon; -1 for all of them.
+  int daemon = -1;
+  Seconds begin = 0;
+  Seconds end = 0;
+};
+
+// A key that was removed at `at`, as the store acknowledged it.
+struct KeyRemoval {
+  std::string key;
+  Seconds at = 0;
+};
+
+struct AccountBound {
+  double per_second = 0;
+  double burst = 0;
+};
+
+struct LedgerBounds {
+  Seconds limit_window = 8;
+  double limit_excess = 0.1;
+  double limit_slack = 20;
+  // A removed key is refused everywhere after this time.
+  Seconds apply = 3;
+  // A daemon is judged by time bounds when nothing was done to it for so long.
+  Seconds contact = 4;
+  // An answer may be later than the caller's limit by this much.
+  Seconds late = 1;
+  // Orders of two holders are this far apart.
+  Seconds lease = 3;
+  // After a daemon was paused its late orders do not count for this long.
+  Seconds thaw = 0.3;
+};
+
+// Everything that callers and upstreams saw in one run, and the promises that
+// it must keep. Decides nothing while the run goes on.
+class Ledger {
+ public:
+  std::vector<CallRecord> calls;
+  std::vector<RunRecord> runs;
+  std::vector<OrderRecord> orders;
+  std::vector<FaultRecord> faults;
+  std::vector<KeyRemoval> key_removals;
+  std::map<std::string, AccountBound> accounts;
+  LedgerBounds bounds;
+
+  // One line for each broken promise; empty if all were kept. `end` is the time
+  // at which callers stopped.
+  auto Broken(Seconds end) const -> std::vector<std::string>;
+
+ private:
+  using Lines = std::vector<std::string>;
+
+  // Whether no fault of these scopes touched the daemon from `contact` before
+  // `begin` until `end`.
+  auto Calm(std::size_t daemon, Seconds begin, Seconds end,
+            const std::set<FaultScope>& scopes) const -> bool;
+  auto CheckRuns(Lines& lines) const -> void;
+  auto CheckAnswers(Lines& lines) const -> void;
+  auto CheckEnds(Seconds end, Lines& lines) const -> void;
+  auto CheckLimits(Lines& lines) const -> void;
+  auto CheckKeys(Lines& lines) const -> void;
+  auto CheckOrders(Lines& lines) const -> void;
+};
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/platform_store.cc
@@ -0,0 +1,203 @@
+#include "soak/platform_store.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
+#include <utility>
+
+namespace dotterellug::soak {
+namespace {
+
+using platform::Json;
+
+constexpr std::string_view kRoot = "/-/objects/";
+// Objects on one page of a list; small, so that lists take several calls.
+constexpr std::size_t kPage = 4;
+
+// The value of a field of a query, or an empty text.
+auto QueryField(const std::string& query, const std::string& name)
+    -> std::string {
+  std::size_t begin = 0;
+  while (begin < query.size()) {
+    const auto end = std::min(query.find('&', begin), query.size());
+    const auto field = query.substr(begin, end - begin);
+    if (field.rfind(name + "=", 0) == 0) return field.substr(name.size() + 1);
+    begin = end + 1;
+  }
+  return "";
+}
+
+}  // namespace
+
+PlatformStore::PlatformStore(boost::asio::io_context& loop, std::uint64_t seed)
+    : loop_(loop),
+      random_(seed),
+      server_(loop,
+              [this](const Session& session,
+                     const eventhttp::ServerRequest& request) {
+                Handle(session, request);
+              }),
+      address_(server_.Listen({"127.0.0.1", 0}).value()) {}
+
+auto PlatformStore::Put(const std::string& kind, const std::string& name,
+                        const Json& spec) -> void {
+  auto& object = objects_[kind][name];
+  if (object.revision > 0 && object.spec == spec) return;
+  object.spec = spec;
+  Note(kind, name, false);
+}
+
+auto PlatformStore::Remove(const std::string& kind, const std::string& name)
+    -> void {
+  if (objects_[kind].erase(name) > 0) Note(kind, name, true);
+}
+
+auto PlatformStore::Note(const std::string& kind, const std::string& name,
+                         bool deleted) -> void {
+  ++revision_;
+  if (!deleted) objects_[kind][name].revision = revision_;
+  changes_.push_back({revision_, kind, name, deleted});
+  for (auto watcher = watchers_.begin(); watcher != watchers_.end();) {
+    if (watcher->kind != kind) {
+      ++watcher;
+      continue;
+    }
+    watcher->timer->cancel();
+    Reply(watcher->session, 200,
+          {{"events", Events(kind, watcher->after)}, {"asOf", revision_}});
+    watcher = watchers_.erase(watcher);
+  }
+}
+
+auto PlatformStore::Encode(const std::string& name, const Object& object) const
+    -> Json {
+  return {{"metadata", {{"name", name}, {"rev", object.revision}}},
+          {"spec", object.spec}};
+}
+
+auto PlatformStore::Events(const std::string& kind, std::int64_t after) const
+    -> Json {
+  auto events = Json::array();
+  for (const auto& change : changes_) {
+    if (change.kind != kind || change.revision <= after) continue;
+    Json object{{"metadata", {{"name", change.name}, {"rev", change.revision}}},
+                {"spec", Json::object()}};
+    if (!change.deleted) {
+      const auto& now = objects_.at(kind);
+      const auto found = now.find(change.name);
+      // Removed since; that change follows.
+      if (found == now.end()) continue;
+      object = Encode(change.name, found->second);
+    }
+    events.push_back({{"object", object}, {"deleted", change.deleted}});
+  }
+  return events;
+}
+
+auto PlatformStore::Reply(const Session& session, int status, const Json& body)
+    -> void {
+  session->Respond(status, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+auto PlatformStore::Handle(const Session& session,
+                           const eventhttp::ServerRequest& request) -> void {
+  if (faults_.away) return session->Abort();
+  if (random_.Uniform() < faults_.rejected_part) return Reply(session, 503, {});
+  const auto& target = request.head.target;
+  if (target.rfind(kRoot, 0) != 0) return Reply(session, 404, {});
+  const auto question = target.find('?');
+  const auto path = target.substr(kRoot.size(), question - kRoot.size());
+  const auto query =
+      question == std::string::npos ? "" : target.substr(question + 1);
+  const auto slash = path.find('/');
+  const auto kind = path.substr(0, slash);
+  const auto name = slash == std::string::npos ? "" : path.substr(slash + 1);
+  if (request.head.method == "GET") {
+    return HandleRead(session, kind, name, query);
+  }
+  HandleChange(session, request, kind, name, query);
+}
+
+auto PlatformStore::HandleRead(const Session& session, const std::string& kind,
+                               const std::string& name,
+                               const std::string& query) -> void {
+  const auto& objects = objects_[kind];
+  if (!name.empty()) {
+    const auto found = objects.find(name);
+    if (found == objects.end()) return Reply(session, 404, {});
+    return Reply(session, 200, Encode(name, found->second));
+  }
+  const auto after = QueryField(query, "watch");
+  if (!after.empty()) {
+    return Watch(session, kind, std::atoll(after.c_str()),
+                 std::atoll(QueryField(query, "waitMs").c_str()));
+  }
+  auto items = Json::array();
+  bool more = false;
+  for (auto object = objects.upper_bound(QueryField(query, "after"));
+       object != objects.end(); ++object) {
+    more = items.size() == kPage;
+    if (more) break;
+    items.push_back(Encode(object->first, object->second));
+  }
+  Reply(session, 200,
+        {{"items", items}, {"hasMore", more}, {"asOf", revision_}});
+}
+
+auto PlatformStore::Watch(const Session& session, const std::string& kind,
+                          std::int64_t after, std::int64_t wait_ms) -> void {
+  const auto events = Events(kind, after);
+  if (!events.empty()) {
+    return Reply(session, 200, {{"events", events}, {"asOf", revision_}});
+  }
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, std::chrono::milliseconds(wait_ms));
+  watchers_.push_back({session, kind, after, timer});
+  const auto place = std::prev(watchers_.end());
+  timer->async_wait([this, place, timer](boost::system::error_code error) {
+    if (error) return;
+    const auto waiting = place->session;
+    const auto as_of = place->after;
+    watchers_.erase(place);
+    Reply(waiting, 200, {{"events", Json::array()}, {"asOf", as_of}});
+  });
+}
+
+auto PlatformStore::HandleChange(const Session& session,
+                                 const eventhttp::ServerRequest& request,
+                                 const std::string& kind,
+                                 const std::string& path_name,
+                                 const std::string& query) -> void {
+  auto& objects = objects_[kind];
+  const auto body = Json::parse(request.body, nullptr, false);
+  const auto* metadata =
+      body.is_object() ? platform::ReadObject(body, "metadata") : nullptr;
+  const bool creates = request.head.method == "POST";
+  const auto name = creates && metadata != nullptr
+                        ? platform::ReadString(*metadata, "name").value_or("")
+                        : path_name;
+  if (name.empty()) return Reply(session, 400, {});
+  const auto found = objects.find(name);
+  if (creates ? found != objects.end() : found == objects.end()) {
+    return Reply(session, creates ? 409 : 404, {});
+  }
+  auto condition = platform::Json();
+  if (metadata != nullptr && metadata->contains("rev")) {
+    condition = (*metadata)["rev"];
+  }
+  const auto in_query = QueryField(query, "rev");
+  if (!in_query.empty()) condition = std::atoll(in_query.c_str());
+  if (!creates && !condition.is_null() && condition != found->second.revision) {
+    return Reply(session, 409, Encode(name, found->second));
+  }
+  if (request.head.method == "DELETE") {
+    Remove(kind, name);
+  } else {
+    Put(kind, name, body.value("spec", Json::object()));
+  }
+  if (random_.Uniform() < faults_.lost_part) return session->Abort();
+  const auto now = objects.find(name);
+  Reply(session, 200,
+        now == objects.end() ? Json::object() : Encode(name, now->second));
+}
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/tests/ledger_tests.cc
@@ -0,0 +1,118 @@
+#include <gtest/gtest.h>
+
+#include "soak/ledger.h"
+
+namespace dotterellug::soak {
+namespace {
+
+constexpr Seconds kEnd = 100;
+
+auto Call(const std::string& id, int status) -> CallRecord {
+  CallRecord call;
+  call.id = id;
+  call.account = "a";
+  call.key = "k";
+  call.tokens = 10;
+  call.sent_at = 10;
+  call.time_limit = 2;
+  call.ended_at = 10.5;
+  call.status = status;
+  call.has_receipt = call.whole = call.looks_complete = status == 200;
+  return call;
+}
+
+class LedgerTest : public ::testing::Test {
+ protected:
+  auto Count() const -> std::size_t { return ledger_.Broken(kEnd).size(); }
+
+  Ledger ledger_;
+};
+
+// Each check must find its own fault, or a soak that passes proves nothing.
+TEST_F(LedgerTest, AcceptsACleanRun) {
+  ledger_.calls = {Call("1", 200), Call("2", 503)};
+  ledger_.runs = {{"1", "a", "u", 10.1}};
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerTest, FindsARequestThatRanTwice) {
+  ledger_.calls = {Call("1", 200)};
+  ledger_.runs = {{"1", "a", "u", 10.1}, {"1", "a", "v", 10.2}};
+  EXPECT_EQ(Count(), 1U);
+  ledger_.calls[0].kind = CallKind::kRepeatable;
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerTest, FindsARefusalOfWhatRan) {
+  ledger_.calls = {Call("1", 503)};
+  ledger_.runs = {{"1", "a", "u", 10.1}};
+  EXPECT_EQ(Count(), 1U);
+  ledger_.calls[0].status = 502;
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerTest, FindsASuccessThatIsNotWhole) {
+  ledger_.calls = {Call("1", 200)};
+  ledger_.calls[0].whole = false;
+  EXPECT_EQ(Count(), 1U);
+  ledger_.calls[0].looks_complete = false;
+  EXPECT_EQ(Count(), 0U);
+  ledger_.calls[0].has_receipt = false;
+  EXPECT_EQ(Count(), 1U);
+}
+
+TEST_F(LedgerTest, FindsARequestWithoutAnEnd) {
+  ledger_.calls = {Call("1", 0)};
+  EXPECT_EQ(Count(), 1U);
+  ledger_.calls[0].ended_at = -1;
+  EXPECT_EQ(Count(), 1U);
+  // A killed daemon may leave requests without an answer, a stopped one not.
+  ledger_.faults = {{"kill", FaultScope::kProcess, 0, 9, 12}};
+  EXPECT_EQ(Count(), 0U);
+  ledger_.faults = {{"kill", FaultScope::kProcess, 1, 9, 12}};
+  EXPECT_EQ(Count(), 1U);
+  ledger_.faults = {{"store away", FaultScope::kStore, -1, 9, 12}};
+  EXPECT_EQ(Count(), 1U);
+}
+
+TEST_F(LedgerTest, AStopMayCloseWhatNobodyRan) {
+  ledger_.calls = {Call("1", 0)};
+  ledger_.faults = {{"stop", FaultScope::kPlannedStop, 0, 9, 12}};
+  EXPECT_EQ(Count(), 0U);
+  ledger_.runs = {{"1", "a", "u", 10.1}};
+  EXPECT_EQ(Count(), 1U);
+}
+
+TEST_F(LedgerTest, FindsAnAccountBeyondItsLimit) {
+  ledger_.accounts["a"] = {1, 5};
+  for (int i = 0; i < 5; ++i) {
+    const auto id = std::to_string(i);
+    ledger_.calls.push_back(Call(id, 200));
+    ledger_.runs.push_back({id, "a", "u", 10.0 + i});
+  }
+  EXPECT_EQ(Count(), 1U);
+  for (auto& run : ledger_.runs) run.at *= 9;
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerTest, FindsARemovedKeyThatIsServed) {
+  ledger_.calls = {Call("1", 200)};
+  ledger_.key_removals = {{"k", 8}};
+  EXPECT_EQ(Count(), 0U);
+  ledger_.key_removals = {{"k", 6}};
+  EXPECT_EQ(Count(), 1U);
+  ledger_.faults = {{"store away", FaultScope::kStore, -1, 5, 7}};
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerTest, FindsTwoHoldersOfOrders) {
+  ledger_.orders = {{"e", "d1", 1, 10}, {"e", "d2", 2, 12}};
+  EXPECT_EQ(Count(), 1U);
+  ledger_.orders[1].at = 13.5;
+  EXPECT_EQ(Count(), 0U);
+  ledger_.orders[1].fence = 1;
+  EXPECT_EQ(Count(), 1U);
+}
+
+}  // namespace
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/world.cc
@@ -0,0 +1,402 @@
+#include "soak/world.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <utility>
+
+#include "platform/wire/names.h"
+
+namespace dotterellug::soak {
+namespace {
+
+using platform::Json;
+
+constexpr Seconds kCalmBegin = 3;
+constexpr Seconds kCalmEnd = 7;
+constexpr Seconds kReadyTimeout = 15;
+constexpr Duration kCallPause = std::chrono::milliseconds(8);
+// Mean time between two faults; several last at the same time.
+constexpr Seconds kFaultPause = 0.9;
+constexpr std::int64_t kLimitedRate = 20;
+constexpr std::int64_t kLimitedBurst = 30;
+const std::vector<std::string> kModels{"m1", "m2", "m3", "m4"};
+const std::vector<std::string> kZones{"a", "b"};
+
+auto Route(const char* name, const char* kind, const char* service,
+           int timeout_ms) -> Json {
+  return {{"name", name},       {"host", "soak"},
+          {"kind", kind},       {"pathPrefix", std::string("/") + name + "/"},
+          {"service", service}, {"timeoutMs", timeout_ms},
+          {"goalMs", 400},      {"gapTargetMs", 300},
+          {"attempts", 3},      {"resumable", true}};
+}
+
+}  // namespace
+
+struct World::Daemon {
+  Daemon(boost::asio::io_context& loop, const SocketAddress& store,
+         DaemonPlan process_plan)
+      : store_link(loop, store), process(std::move(process_plan)) {}
+
+  FaultProxy store_link;
+  DaemonProcess process;
+  SocketAddress readiness;
+  // A fault of the process is under way.
+  bool busy = false;
+};
+
+struct World::Upstream {
+  Upstream(boost::asio::io_context& loop, PlatformStore& store, Ledger& ledger,
+           const Backend::Clock& clock, BackendPlan plan, std::uint64_t seed)
+      : backend(loop, store, ledger, clock, std::move(plan), seed),
+        link(loop, backend.Address()) {}
+
+  Backend backend;
+  FaultProxy link;
+  bool gone = false;
+};
+
+World::World(WorldPlan plan)
+    : plan_(std::move(plan)),
+      began_(MonotonicNow()),
+      random_(plan_.seed),
+      store_(loop_, plan_.seed + 1),
+      callers_(
+          loop_, ledger_, [this] { return Now(); }, plan_.seed) {
+  callers_.models = kModels;
+  callers_.keys = {{"open", "key-open"}, {"limited", "key-limited"}};
+  ledger_.accounts["limited"] = {static_cast<double>(kLimitedRate),
+                                 static_cast<double>(kLimitedBurst)};
+  ChangeKeys();
+  for (const auto& zone : kZones) {
+    AddUpstream("plain", zone, {});
+    AddUpstream("plain", zone, {});
+    AddUpstream("engines", zone, {"m1", "m2"});
+    AddUpstream("engines", zone, {"m3", "m4"});
+  }
+  for (std::size_t i = 0; i < plan_.daemons; ++i) AddDaemon(i);
+}
+
+World::~World() = default;
+
+auto World::Now() const -> Seconds {
+  return ToSeconds(MonotonicNow() - began_);
+}
+
+auto World::After(Seconds delay, std::function<void()> then) -> void {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, FromSeconds(std::max(delay, 0.0)));
+  timer->async_wait(
+      [timer, then = std::move(then)](boost::system::error_code error) {
+        if (!error) then();
+      });
+}
+
+auto World::AddDaemon(std::size_t index) -> void {
+  // Addresses of its own for each run, so that runs can go on side by side.
+  const auto process = static_cast<unsigned>(::getpid());
+  const auto ip = "127." + std::to_string(20 + process % 200) + "." +
+                  std::to_string(process / 200 % 250) + "." +
+                  std::to_string(index + 1);
+  const auto name = "d" + std::to_string(index + 1);
+  const auto file = plan_.work + "/" + name + ".json";
+  auto daemon = std::make_unique<Daemon>(
+      loop_, store_.Address(),
+      DaemonPlan{plan_.program, file, plan_.work + "/" + name + ".log"});
+  daemon->readiness = {ip, 8224};
+  const Json settings{
+      {"nodeName", name},
+      {"ip", ip},
+      {"zone", kZones[index % kZones.size()]},
+      {"listen", {{"front", ip + ":8221"}, {"ready", ip + ":8224"}}},
+      {"portRange", {7600, 7615}},
+      {"limits", {{"cpuShare", 0.25}, {"cores", 1}}},
+      {"heartbeatMs", 1200},
+      {"provider", {{"addr", daemon->store_link.Address().Text()}}}};
+  std::ofstream(file) << settings.dump(2);
+  callers_.targets.push_back({{ip, 8221}, true});
+  daemons_.push_back(std::move(daemon));
+}
+
+auto World::AddUpstream(const std::string& pool, const std::string& zone,
+                        std::vector<std::string> models) -> void {
+  BackendPlan plan;
+  plan.id = pool + "-" + std::to_string(++upstream_number_);
+  plan.pool = pool;
+  plan.zone = zone;
+  plan.slots = 16;
+  plan.models = std::move(models);
+  const auto seed = plan_.seed + static_cast<std::uint64_t>(upstream_number_);
+  upstreams_.push_back(std::make_unique<Upstream>(
+      loop_, store_, ledger_, [this] { return Now(); }, std::move(plan), seed));
+  auto& upstream = *upstreams_.back();
+  upstream.backend.Register(upstream.link.Address());
+}
+
+auto World::WriteConfiguration() -> void {
+  auto models = Json::array();
+  for (const auto& model : kModels) {
+    models.push_back({{"name", model}, {"weightsMb", 100}, {"loadS", 0.6}});
+  }
+  const Json engine{{"slots", 16},      {"kvCapacity", 100'000},
+                    {"weightsMb", 320}, {"adapterSlots", 0},
+                    {"loadsPerS", 4},   {"models", models}};
+  const Json config{
+      {"version", ++version_},
+      {"routes",
+       {Route("once", "non_idempotent", "plain", 2000),
+        Route("read", "idempotent", "plain", 2000),
+        Route("stream", "stream", "engines", 5000)}},
+      {"services",
+       {{{"name", "plain"}}, {{"name", "engines"}, {"engine", engine}}}},
+      {"tenants",
+       {{{"name", "open"},
+         {"apiKeys", {"key-open", "key-" + std::to_string(key_number_)}}},
+        {{"name", "limited"},
+         {"ratePerS", kLimitedRate},
+         {"burst", kLimitedBurst},
+         {"apiKeys", {"key-limited"}}}}}};
+  store_.Put(std::string(platform::kConfigKind), "main", config);
+}
+
+// Removes the key that changes and adds another one. Callers go on using the
+// removed key for a while.
+auto World::ChangeKeys() -> void {
+  const auto removed = "key-" + std::to_string(key_number_);
+  ++key_number_;
+  WriteConfiguration();
+  if (key_number_ > 1) ledger_.key_removals.push_back({removed, Now()});
+  callers_.keys.resize(2);
+  if (key_number_ > 1) callers_.keys.push_back({"open", removed});
+  callers_.keys.push_back({"open", "key-" + std::to_string(key_number_)});
+}
+
+auto World::WaitUntilReady() -> Result<void> {
+  std::size_t ready = 0;
+  std::function<void(std::size_t)> ask = [&](std::size_t index) {
+    const auto connection = std::make_shared<eventhttp::ClientConnection>(
+        loop_, daemons_[index]->readiness);
+    const auto status = std::make_shared<int>(0);
+    eventhttp::ExchangeHandlers handlers;
+    handlers.on_head = [status](eventhttp::ResponseHead& head) {
+      *status = head.status;
+      return eventhttp::HeadVerdict::kAccept;
+    };
+    handlers.on_body = [](std::string_view) {};
+    handlers.on_end = [&, connection, status, index](eventhttp::ExchangeEnd) {
+      if (*status == 200) {
+        ++ready;
+      } else {
+        After(0.1, [&, index] { ask(index); });
+      }
+    };
+    connection->Exchange("GET " + std::string(platform::kReadyPath) +
+                             " HTTP/1.1\r\nHost: soak\r\n\r\n",
+                         std::move(handlers));
+  };
+  for (std::size_t i = 0; i < daemons_.size(); ++i) ask(i);
+  const auto end = Now() + kReadyTimeout;
+  while (ready < daemons_.size() && Now() < end) {
+    loop_.run_one_for(std::chrono::milliseconds(50));
+  }
+  if (ready == daemons_.size()) return {};
+  return Fail(
+      ErrorKind::kUnavailable,
+      std::to_string(daemons_.size() - ready) + " daemons did not become ready",
+      "read their logs in " + plan_.work);
+}
+
+auto World::Run() -> Result<void> {
+  for (auto& daemon : daemons_) {
+    const auto started = daemon->process.Start();
+    if (!started) return started;
+  }
+  const auto ready = WaitUntilReady();
+  if (!ready) return ready;
+  const auto begin = Now();
+  callers_.Start(kCallPause);
+  const auto faults_end = begin + plan_.seconds - kCalmEnd;
+  std::function<void()> next = [&] {
+    if (Now() > faults_end) return;
+    DrawFault();
+    After(kFaultPause * 2 * random_.Uniform(), next);
+  };
+  After(kCalmBegin, next);
+  loop_.run_for(std::chrono::duration_cast<std::chrono::nanoseconds>(
+      FromSeconds(begin + plan_.seconds - Now())));
+  callers_.Stop();
+  return {};
+}
+
+auto World::Note(const std::string& name, FaultScope scope, int daemon,
+                 Seconds duration) -> void {
+  ledger_.faults.push_back({name, scope, daemon, Now(), Now() + duration});
+}
+
+auto World::DrawFault() -> void {
+  const auto daemon = random_.Below(daemons_.size());
+  const auto upstream = random_.Below(upstreams_.size());
+  const auto duration = 0.5 + 3 * random_.Uniform();
+  switch (random_.Below(10)) {
+    case 0:
+      return KillDaemon(daemon);
+    case 1:
+      return PauseDaemon(daemon, duration);
+    case 2:
+      return StopDaemon(daemon);
+    case 3:
+      return HarmStore(duration);
+    case 4:
+      return HarmStoreLink(daemon, duration);
+    case 5:
+    case 6:
+      return HarmUpstream(upstream, duration);
+    case 7:
+      return ReplaceUpstream(upstream);
+    case 8:
+      return ChangeKeys();
+    default:
+      Note("reload", FaultScope::kUpstream, static_cast<int>(daemon), 0);
+      return daemons_[daemon]->process.Signal(SIGHUP);
+  }
+}
+
+auto World::KillDaemon(std::size_t index) -> void {
+  auto& daemon = *daemons_[index];
+  if (std::exchange(daemon.busy, true)) return;
+  Note("kill", FaultScope::kProcess, static_cast<int>(index), 3);
+  callers_.targets[index].takes_connections = false;
+  daemon.process.Signal(SIGKILL);
+  After(0.5 + random_.Uniform(), [this, index] { RestartWhenGone(index); });
+}
+
+auto World::PauseDaemon(std::size_t index, Seconds duration) -> void {
+  auto& daemon = *daemons_[index];
+  if (std::exchange(daemon.busy, true)) return;
+  Note("pause", FaultScope::kProcess, static_cast<int>(index), duration);
+  daemon.process.Signal(SIGSTOP);
+  After(duration, [this, index] {
+    daemons_[index]->process.Signal(SIGCONT);
+    daemons_[index]->busy = false;
+  });
+}
+
+auto World::StopDaemon(std::size_t index) -> void {
+  auto& daemon = *daemons_[index];
+  if (std::exchange(daemon.busy, true)) return;
+  Note("stop", FaultScope::kPlannedStop, static_cast<int>(index), 9);
+  daemon.process.Signal(SIGTERM);
+  // As a balancer does after two answers that it is not ready.
+  After(2,
+        [this, index] { callers_.targets[index].takes_connections = false; });
+  After(0.5, [this, index] { RestartWhenGone(index); });
+}
+
+auto World::RestartWhenGone(std::size_t index) -> void {
+  auto& daemon = *daemons_[index];
+  if (daemon.process.Running()) {
+    return After(0.1, [this, index] { RestartWhenGone(index); });
+  }
+  if (!daemon.process.Start()) {
+    return After(0.5, [this, index] { RestartWhenGone(index); });
+  }
+  After(1.5, [this, index] {
+    callers_.targets[index].takes_connections = true;
+    daemons_[index]->busy = false;
+  });
+}
+
+auto World::HarmStore(Seconds duration) -> void {
+  if (store_.Away()) return;
+  StoreFaults faults;
+  const auto kind = random_.Below(3);
+  if (kind == 0) faults.away = true;
+  if (kind == 1) faults.rejected_part = 0.5;
+  if (kind == 2) faults.lost_part = 0.5;
+  const std::vector<std::string> names{"store away", "store rejects",
+                                       "store loses answers"};
+  Note(names[kind], FaultScope::kStore, -1, duration);
+  store_.SetFaults(faults);
+  After(duration, [this] { store_.SetFaults({}); });
+}
+
+auto World::HarmStoreLink(std::size_t index, Seconds duration) -> void {
+  const auto mode = static_cast<LinkMode>(1 + random_.Below(3));
+  Note("link to store " + std::to_string(static_cast<int>(mode)),
+       FaultScope::kStore, static_cast<int>(index), duration);
+  daemons_[index]->store_link.SetMode(mode);
+  After(duration, [this, index] {
+    daemons_[index]->store_link.SetMode(LinkMode::kPass);
+    daemons_[index]->store_link.ResetAll();
+  });
+}
+
+auto World::HarmUpstream(std::size_t index, Seconds duration) -> void {
+  auto& upstream = *upstreams_[index];
+  const auto kind = random_.Below(6);
+  const std::vector<std::string> names{"breaks off", "fails",  "is slow",
+                                       "is delayed", "is cut", "cannot answer"};
+  Note(upstream.backend.Plan().id + " " + names[kind], FaultScope::kUpstream,
+       -1, duration);
+  BackendFaults faults;
+  if (kind == 0) faults.broken_part = 0.4;
+  if (kind == 1) faults.failed_part = 0.4;
+  if (kind == 2) faults.delay = std::chrono::milliseconds(300);
+  upstream.backend.SetFaults(faults);
+  if (kind >= 3) upstream.link.SetMode(static_cast<LinkMode>(kind - 2));
+  After(duration, [this, index] {
+    upstreams_[index]->backend.SetFaults({});
+    upstreams_[index]->link.SetMode(LinkMode::kPass);
+    upstreams_[index]->link.ResetAll();
+  });
+}
+
+// An upstream leaves, announced or not, and a new one takes its place.
+auto World::ReplaceUpstream(std::size_t index) -> void {
+  auto& upstream = *upstreams_[index];
+  if (std::exchange(upstream.gone, true)) return;
+  const auto plan = upstream.backend.Plan();
+  Note(plan.id + " is replaced", FaultScope::kUpstream, -1, 3);
+  const bool announced = random_.Below(2) == 0;
+  if (announced) upstream.backend.Leave();
+  After(announced ? 3.0 : 0.0, [this, index, announced] {
+    upstreams_[index]->backend.Gone();
+    if (!announced) upstreams_[index]->link.ResetAll();
+  });
+  After(0.5, [this, plan] { AddUpstream(plan.pool, plan.zone, plan.models); });
+}
+
+auto World::Report() const -> std::string {
+  std::map<std::string, int> outcomes;
+  for (const auto& call : ledger_.calls) {
+    ++outcomes[call.ended_at < 0 ? "open" : std::to_string(call.status)];
+  }
+  std::string text = "## Seed " + std::to_string(plan_.seed) + "\n\n" +
+                     std::to_string(ledger_.calls.size()) + " requests, " +
+                     std::to_string(ledger_.runs.size()) + " runs, " +
+                     std::to_string(ledger_.orders.size()) + " orders. ";
+  for (const auto& [outcome, count] : outcomes) {
+    text += outcome + ": " + std::to_string(count) + "; ";
+  }
+  text += "\n\n| from s | to s | daemon | fault |\n|---|---|---|---|\n";
+  for (const auto& fault : ledger_.faults) {
+    char times[64];
+    std::snprintf(times, sizeof times, "| %.2f | %.2f | ", fault.begin,
+                  fault.end);
+    text += times;
+    text += fault.daemon < 0 ? "-" : "d" + std::to_string(fault.daemon + 1);
+    text += " | " + fault.name + " |\n";
+  }
+  const auto broken = ledger_.Broken(Now());
+  text += broken.empty() ? "\nAll promises kept.\n\n" : "\nBroken:\n\n";
+  for (const auto& line : broken) text += "- " + line + "\n";
+  return text;
+}
+
+}  // namespace dotterellug::soak
--- /dev/null
+++ b/extras/soak/world.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "soak/backend.h"
+#include "soak/callers.h"
+#include "soak/daemon_process.h"
+#include "soak/fault_proxy.h"
+#include "soak/ledger.h"
+#include "soak/platform_store.h"
+
+namespace dotterellug::soak {
+
+struct WorldPlan {
+  std::uint64_t seed = 1;
+  // Path of dotterellugd.
+  std::string program;
+  // Folder for settings and logs of the daemons; must exist.
+  std::string work;
+  std::size_t daemons = 5;
+  Seconds seconds = 20;
+};
+
+// One run: daemons as processes of their own, the store and upstreams in this
+// one, callers, and faults that the seed draws. Faults begin after a calm time
+// and end before another one.
+class World {
+ public:
+  explicit World(WorldPlan plan);
+  ~World();
+
+  // Runs to the end; fails if the daemons do not begin to serve.
+  auto Run() -> Result<void>;
+  auto Results() const -> const Ledger& { return ledger_; }
+  // What was done and seen, in Markdown.
+  auto Report() const -> std::string;
+
+ private:
+  struct Daemon;
+  struct Upstream;
+
+  auto Now() const -> Seconds;
+  auto After(Seconds delay, std::function<void()> then) -> void;
+  auto AddDaemon(std::size_t index) -> void;
+  auto AddUpstream(const std::string& pool, const std::string& zone,
+                   std::vector<std::string> models) -> void;
+  auto WriteConfiguration() -> void;
+  auto WaitUntilReady() -> Result<void>;
+  auto DrawFault() -> void;
+  auto Note(const std::string& name, FaultScope scope, int daemon,
+            Seconds duration) -> void;
+  auto KillDaemon(std::size_t index) -> void;
+  auto PauseDaemon(std::size_t index, Seconds duration) -> void;
+  auto StopDaemon(std::size_t index) -> void;
+  auto RestartWhenGone(std::size_t index) -> void;
+  auto HarmStore(Seconds duration) -> void;
+  auto HarmStoreLink(std::size_t index, Seconds duration) -> void;
+  auto HarmUpstream(std::size_t index, Seconds duration) -> void;
+  auto ReplaceUpstream(std::size_t index) -> void;
+  auto ChangeKeys() -> void;
+
+  WorldPlan plan_;
+  boost::asio::io_context loop_;
+  Timestamp began_;
+  Random random_;
+  Ledger ledger_;
+  PlatformStore store_;
+  Callers callers_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+  // Those that have left stay, since requests may still run there.
+  std::vector<std::unique_ptr<Upstream>> upstreams_;
+  std::int64_t version_ = 0;
+  int key_number_ = 0;
+  int upstream_number_ = 0;
+};
+
+}  // namespace dotterellug::soak
