--- a/client/explain/request_story.cc
+++ b/client/explain/request_story.cc
@@ -170,6 +170,7 @@
   // What the logs say about the upstream around the end of the request.
   auto UpstreamEvidence(const std::string& upstream) const -> std::string {
     std::int64_t others = 0;
+    std::int64_t late = 0;
     std::string entry;
     for (const auto& line : logs_.lines) {
       if (line.Text("upstream") != upstream) continue;
@@ -178,6 +179,10 @@
           UpstreamCauses().count(line.Text("cause")) > 0) {
         ++others;
       }
+      if (line.event == "request_ended" && line.Text("request") != request_ &&
+          Late(line)) {
+        ++late;
+      }
       // That it leaves or is gone says more than that it appeared.
       if (line.event == "upstream" &&
           (entry.empty() || line.Text("state") != "live")) {
@@ -187,10 +192,39 @@
     }
     auto text = "; " + Count(others, "other request") +
                 " failed at it within " + std::to_string(kTogetherMs) + " ms";
+    if (late > 0) {
+      text += "; " + Count(late, "other caller") +
+              " left it or were answered late, as from an engine with too much "
+              "work";
+    }
+    text += LoadEvidence(upstream);
     if (!entry.empty()) text += "; " + entry;
     return text + OwnEvidence();
   }
 
+  // A request whose caller left, or that was answered after its goal or with a
+  // long pause.
+  static auto Late(const LogLine& line) -> bool {
+    const auto goal = line.Number("goal_ms", -1);
+    return line.Text("cause") == "caller_left" ||
+           (goal > 0 && line.Number("first_ms") > goal) ||
+           line.Number("longest_pause_ms") > kLongPauseMs;
+  }
+
+  // How full the upstream was when the request was sent there.
+  auto LoadEvidence(const std::string& upstream) const -> std::string {
+    for (const auto* line : own_) {
+      if (line->event != "request_sent" || line->Text("upstream") != upstream) {
+        continue;
+      }
+      const auto requests =
+          line->Number("own_requests") + line->Number("other_requests");
+      return "; it had " + Count(requests, "request") + " for " +
+             std::to_string(line->Number("slots")) + " slots when it was sent";
+    }
+    return "";
+  }
+
   // What disturbed the own daemon during the request.
   auto OwnEvidence() const -> std::string {
     std::string text;
@@ -239,7 +273,8 @@
     const auto allowed = static_cast<double>(rate * kLimitWindowMs) / 1000;
     if (static_cast<double>(tokens) >= allowed * kUsedPart) return text;
     text += ", which is less";
-    if (const auto* hub = LastOwn("hub_chosen", kStateBeforeMs)) {
+    const auto* hub = LastOwn("hub_chosen", kStateBeforeMs);
+    if (hub != nullptr && !hub->Text("before").empty()) {
       text += "; the hub that grants tokens had changed from " +
               hub->Text("before") + " to " + hub->Text("hub") + " " +
               Before(*hub);
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -28,6 +28,7 @@
                own_settings.bounds.repeat_window}),
       connections(event_loop, {}),
       random(seed),
+      started_at(MonotonicNow()),
       log_timer(event_loop) {
   log.OnBuffered([this] {
     log_timer.expires_after(kLogDelay);
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -57,6 +57,7 @@
   // Reports to the hub at once, because a request waits for its answer.
   std::function<void()> report_now;
   std::int64_t open_requests = 0;
+  Timestamp started_at;
   // When a hub last told the load of other daemons; zero before the first time.
   Timestamp hub_answered_at{};
   // Writes buffered log lines shortly after the first of them, so that a
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -15,6 +15,10 @@
 // A request waits so long for tokens of its account: a few round trips to the
 // hub.
 constexpr auto kTokenWait = std::chrono::milliseconds(120);
+// The same shortly after the start, when this daemon has only its own small
+// part of the limits until it knows the others and their hub.
+constexpr auto kFirstTokenWait = std::chrono::milliseconds(900);
+constexpr auto kStartTime = std::chrono::seconds(2);
 // Part of the caller's patience for which a request waits for an upstream that
 // can take it, such as one that is loading its model.
 constexpr double kUpstreamWaitPart = 0.6;
@@ -169,7 +173,10 @@
     charged_ = tokens;
     return true;
   }
-  if (const auto wait = context_.allowances.ExhaustedFor(account_, now)) {
+  const bool starting = now - context_.started_at < kStartTime;
+  const auto wait = context_.allowances.ExhaustedFor(account_, now);
+  // What a daemon says of itself as its own hub is not the account's state.
+  if (wait && !starting) {
     const auto rate = static_cast<double>(account->limit.per_second);
     const auto needed = FromSeconds(static_cast<double>(tokens) / rate);
     Refuse(429, "over_limit", std::max(*wait, needed));
@@ -178,7 +185,9 @@
   const bool asked = waiting_ == Waiting::kTokens;
   if (!asked) {
     waits_for_ = "tokens";
-    Park(Waiting::kTokens, std::min(now + kTokenWait, deadline_));
+    const auto longest =
+        starting ? Duration(kFirstTokenWait) : Duration(kTokenWait);
+    Park(Waiting::kTokens, std::min(now + longest, deadline_));
     context_.report_now();
   }
   return false;
