--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -135,8 +135,8 @@
   summary.closing = closing_;
   summary.opened = opened_;
   summary.store_positions = link_->positions();
-  summary.store_age =
-      holds_back_ ? kNewsLifetime : Duration(now - upstreams_read_at_);
+  summary.store_age = now - upstreams_read_at_;
+  if (holds_back_) summary.store_age = kNewsLifetime;
   summary.news = journal_.Since(report.upstream_position);
   return summary;
 }
--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -491,8 +491,9 @@
   for (const auto& [id, engine] : engines_) {
     if (engine.closing) announcements_.OnClosing({id, *engine.closing}, now);
     const auto& order = engine.weight_order;
-    if (order && !order->load)
+    if (order && !order->load) {
       announcements_.OnClosing({id, order->model}, now);
+    }
   }
   fleet_.SetClosing(announcements_.Closing(now));
   fleet_.SetOpened(announcements_.Opened(now));
--- a/modules/fleet/demand/demand_meter.h
+++ b/modules/fleet/demand/demand_meter.h
@@ -22,7 +22,8 @@
 
   // Time since the first request was counted; 0 before.
   auto Age(Timestamp now) const -> Duration {
-    return first_at_ == Timestamp{} ? Duration(0) : Duration(now - first_at_);
+    if (first_at_ == Timestamp{}) return Duration::zero();
+    return now - first_at_;
   }
 
   // Part of a recent rate that is left after `age`.
