Read integers, ids and demand in one place each, and mark the new message layout

Cause: reading the whole change again. The fleet codec decoded lists of ids three ways; the demand of all daemons was summed twice in each plan, and the list of unreachable upstreams was built for each engine's reply only to look one up: FleetHub::Unreachable(id). DemandMeter decayed its rates in three places. Dead: HandleInput, ClearBody. Messages between daemons had a new layout under the old tags, although the codec says that the tag changes with it; now 3 and 4, so that two versions side by side reject one another's datagrams instead of misreading rates as counts.

--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -174,7 +174,6 @@
 }
 
 auto OrderDesk::RefreshEngines(Timestamp now) -> void {
-  const auto unreachable = fleet_.Hub().Unreachable();
   for (auto engine = engines_.begin(); engine != engines_.end();) {
     const auto current = context_.upstreams.Find(engine->first);
     const bool same = current == engine->second.upstream;
@@ -197,9 +196,8 @@
     const bool polls =
         engine.weight_order && now >= engine.weight_order->poll_at;
     const bool needs_reading = !engine.known || polls;
-    const bool in_doubt = std::find(unreachable.begin(), unreachable.end(),
-                                    id) != unreachable.end();
-    if (in_doubt || (needs_reading && !upstream->Suspected(now))) {
+    if (fleet_.Hub().Unreachable(id) ||
+        (needs_reading && !upstream->Suspected(now))) {
       ReadEngine(engine, now);
     }
   }
@@ -223,8 +221,7 @@
   engine.reading = false;
   const auto now = MonotonicNow();
   if (!state) {
-    const auto doubted = fleet_.Hub().Unreachable();
-    if (std::find(doubted.begin(), doubted.end(), id) == doubted.end()) return;
+    if (!fleet_.Hub().Unreachable(id)) return;
     if (engine.dead_until < now) {
       context_.log.Write(EventRank::kState, "engine_given_up")
           .Add("upstream", id.Value())
@@ -282,21 +279,17 @@
   for (const auto& missing : fleet_.Hub().TakeMissing()) {
     wanted_adapters_.Note({missing.model, missing.adapter}, now);
   }
+  const auto demand = fleet_.Hub().Demand(now);
   for (const auto& [id, pool] : context_.catalog->Pools()) {
-    if (pool.engine) PlanPool(pool, now);
+    if (!pool.engine) continue;
+    PlanCopies(pool, demand, now);
+    PlanAdapterCopies(pool, demand, now);
   }
 }
 
-auto OrderDesk::PlanPool(const serving::ServicePool& pool, Timestamp now)
-    -> void {
-  PlanCopies(pool, now);
-  PlanAdapterCopies(pool, now);
-}
-
-auto OrderDesk::PlanCopies(const serving::ServicePool& pool, Timestamp now)
-    -> void {
+auto OrderDesk::PlanCopies(const serving::ServicePool& pool,
+                           const Demand& demand, Timestamp now) -> void {
   const auto& engines = *pool.engine;
-  const auto demand = fleet_.Hub().Demand(now);
   CopyInput input;
   for (const auto& model : engines.models) {
     const auto found = demand.find(model.id);
@@ -383,10 +376,9 @@
 }
 
 auto OrderDesk::PlanAdapterCopies(const serving::ServicePool& pool,
-                                  Timestamp now) -> void {
+                                  const Demand& demand, Timestamp now) -> void {
   const auto& engines = *pool.engine;
   AdapterInput input;
-  const auto demand = fleet_.Hub().Demand(now);
   for (const auto& model : engines.models) {
     if (model.adapters > 0) input.adapters[model.id] = AdapterNames(model);
     const auto found = demand.find(model.id);
--- a/daemon/gateway/order_desk.h
+++ b/daemon/gateway/order_desk.h
@@ -68,6 +68,8 @@
     std::map<ModelId, Timestamp> loaded_at;
   };
 
+  using Demand = std::map<ModelId, fleet::FleetHub::TotalDemand>;
+
   auto StepLease(Timestamp now) -> void;
   auto Contends(Timestamp now) const -> bool;
   auto OnLeaseRead(const Result<std::optional<OrderLeaseRecord>>& result)
@@ -80,10 +82,10 @@
   auto OnEngineRead(const UpstreamId& id, const Result<EngineState>& state)
       -> void;
   auto Plan(Timestamp now) -> void;
-  auto PlanPool(const serving::ServicePool& pool, Timestamp now) -> void;
-  auto PlanCopies(const serving::ServicePool& pool, Timestamp now) -> void;
-  auto PlanAdapterCopies(const serving::ServicePool& pool, Timestamp now)
-      -> void;
+  auto PlanCopies(const serving::ServicePool& pool, const Demand& demand,
+                  Timestamp now) -> void;
+  auto PlanAdapterCopies(const serving::ServicePool& pool, const Demand& demand,
+                         Timestamp now) -> void;
   auto Apply(const CopyStep& step, const serving::EngineClass& engines,
              Timestamp now) -> void;
   auto SendOrder(Engine& engine, bool load, const ModelId& model,
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -1,9 +1,10 @@
 #include "daemon/gateway/request_exchange.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
+#include "core/text/parse_integer.h"
+
 namespace dotterellug::gateway {
 namespace {
 
@@ -70,11 +71,9 @@
     -> std::optional<std::uint64_t> {
   const auto* value = FindField(fields, "Content-Length");
   if (value == nullptr) return std::nullopt;
-  std::uint64_t length = 0;
-  const auto [end, error] =
-      std::from_chars(value->data(), value->data() + value->size(), length);
-  if (error != std::errc()) return std::nullopt;
-  return length;
+  const auto length = ParseInteger(*value);
+  if (!length || *length < 0) return std::nullopt;
+  return static_cast<std::uint64_t>(*length);
 }
 
 // Prompt tokens that an engine must read. Shared parts are mostly kept there.
--- a/daemon/gateway/request_trace.h
+++ b/daemon/gateway/request_trace.h
@@ -14,13 +14,13 @@
   // Null when no route was found.
   const serving::ServiceRoute* route = nullptr;
   // Empty without a key.
-  ClientAccountId account;
+  ClientAccountId account{};
   std::int64_t charged_tokens = 0;
   // Version of the configuration that decided; -1 if none was known.
   std::int64_t config = -1;
   // Attempts made, and the upstream of the last one; empty if none.
   int sent = 0;
-  UpstreamId upstream;
+  UpstreamId upstream{};
   // "ok", "refused", "failed" or "cancelled".
   const char* outcome = "";
   // Empty when all went well.
--- a/modules/eventhttp/client/client_connection.h
+++ b/modules/eventhttp/client/client_connection.h
@@ -70,7 +70,6 @@
   auto Send() -> void;
   auto WaitForInput() -> void;
   auto ReadInput() -> void;
-  auto HandleInput(std::string_view bytes) -> void;
   auto ParseInput() -> void;
   auto HeadRead() -> bool;
   auto HandleEnd(bool clean) -> void;
--- a/modules/eventhttp/message/message_parser.h
+++ b/modules/eventhttp/message/message_parser.h
@@ -47,7 +47,6 @@
   // The body bytes since the last call.
   auto TakeBody() -> std::string { return std::move(body_); }
   auto Body() const -> const std::string& { return body_; }
-  auto ClearBody() -> void { body_.clear(); }
 
  private:
   using View = boost::beast::string_view;
--- a/modules/fleet/demand/demand_meter.cc
+++ b/modules/fleet/demand/demand_meter.cc
@@ -20,32 +20,32 @@
   return std::exp(-ToSeconds(age) / kRecentSeconds);
 }
 
+auto DemandMeter::At(const Rate& rate, Timestamp now) -> Rate {
+  const Duration age = now - rate.at;
+  return {rate.recent * Decay(age),
+          rate.lasting * std::exp(-ToSeconds(age) / kLastingSeconds), now};
+}
+
 auto DemandMeter::Count(const ModelId& model, std::int64_t tokens,
                         Timestamp now) -> void {
   if (first_at_ == Timestamp{}) first_at_ = now;
   auto& rate = rates_[model];
-  const Duration age = now - rate.at;
   const auto amount = static_cast<double>(tokens);
-  rate.recent = rate.recent * Decay(age) + amount / kRecentSeconds;
-  rate.lasting = rate.lasting * std::exp(-ToSeconds(age) / kLastingSeconds) +
-                 amount / kLastingSeconds;
-  rate.at = now;
+  rate = At(rate, now);
+  rate.recent += amount / kRecentSeconds;
+  rate.lasting += amount / kLastingSeconds;
 }
 
 auto DemandMeter::Rates(Timestamp now) -> std::vector<ModelDemand> {
   std::vector<ModelDemand> demand;
   for (auto entry = rates_.begin(); entry != rates_.end();) {
-    const auto& [model, rate] = *entry;
-    const Duration age = now - rate.at;
-    const auto lasting =
-        rate.lasting * std::exp(-ToSeconds(age) / kLastingSeconds);
-    if (lasting < kLeastRate) {
+    const auto rate = At(entry->second, now);
+    if (rate.lasting < kLeastRate) {
       entry = rates_.erase(entry);
       continue;
     }
-    demand.push_back({model,
-                      static_cast<std::int64_t>(rate.recent * Decay(age)),
-                      static_cast<std::int64_t>(lasting * 1000)});
+    demand.push_back({entry->first, static_cast<std::int64_t>(rate.recent),
+                      static_cast<std::int64_t>(rate.lasting * 1000)});
     ++entry;
   }
   return demand;
--- a/modules/fleet/demand/demand_meter.h
+++ b/modules/fleet/demand/demand_meter.h
@@ -36,6 +36,9 @@
     Timestamp at;
   };
 
+  // The rates as they are at `now`.
+  static auto At(const Rate& rate, Timestamp now) -> Rate;
+
   std::map<ModelId, Rate> rates_;
   Timestamp first_at_{};
 };
--- a/modules/fleet/hub/fleet_hub.cc
+++ b/modules/fleet/hub/fleet_hub.cc
@@ -67,7 +67,9 @@
     }
     if (use.requests > 0) summary.others.push_back(use);
   }
-  summary.unreachable = Unreachable();
+  for (const auto& [id, count] : unreachable_) {
+    if (count >= kWitnesses) summary.unreachable.push_back(id);
+  }
   return summary;
 }
 
@@ -76,12 +78,9 @@
   return found == totals_.end() ? 0 : found->second.requests;
 }
 
-auto FleetHub::Unreachable() const -> std::vector<UpstreamId> {
-  std::vector<UpstreamId> unreachable;
-  for (const auto& [id, count] : unreachable_) {
-    if (count >= kWitnesses) unreachable.push_back(id);
-  }
-  return unreachable;
+auto FleetHub::Unreachable(const UpstreamId& upstream) const -> bool {
+  const auto found = unreachable_.find(upstream);
+  return found != unreachable_.end() && found->second >= kWitnesses;
 }
 
 auto FleetHub::AddUse(const FleetReport& report, int sign) -> void {
--- a/modules/fleet/hub/fleet_hub.h
+++ b/modules/fleet/hub/fleet_hub.h
@@ -57,8 +57,8 @@
   auto Demand(Timestamp now) const -> std::map<ModelId, TotalDemand>;
   // Requests in flight at an upstream from all daemons that report here.
   auto RequestsAt(const UpstreamId& upstream) const -> std::int64_t;
-  // Upstreams that several of the reporting daemons could not reach lately.
-  auto Unreachable() const -> std::vector<UpstreamId>;
+  // Whether several of the reporting daemons could not reach it lately.
+  auto Unreachable(const UpstreamId& upstream) const -> bool;
   // Adapters reported missing since the last call.
   auto TakeMissing() -> std::vector<MissingAdapter>;
   // When a daemon last reported here.
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -11,8 +11,8 @@
 using Json = nlohmann::json;
 
 // The first element of each message; changes with its layout.
-constexpr int kReportTag = 1;
-constexpr int kSummaryTag = 2;
+constexpr int kReportTag = 3;
+constexpr int kSummaryTag = 4;
 
 auto EncodeUses(const std::vector<UpstreamUse>& uses) -> Json {
   auto list = Json::array();
@@ -43,10 +43,13 @@
   return list;
 }
 
-template <typename Id>
-auto DecodeIds(const Json& list) -> std::set<Id> {
-  std::set<Id> ids;
-  for (const auto& id : list) ids.insert(Id(id.get<std::string>()));
+// Into a vector or a set of ids.
+template <typename Ids>
+auto DecodeIds(const Json& list) -> Ids {
+  Ids ids;
+  for (const auto& id : list) {
+    ids.insert(ids.end(), typename Ids::value_type(id.get<std::string>()));
+  }
   return ids;
 }
 
@@ -79,10 +82,10 @@
   for (const auto& model : list.at(9)) {
     record.models.push_back({ModelId(model.at(0).get<std::string>()),
                              model.at(1).get<std::int64_t>(),
-                             DecodeIds<AdapterId>(model.at(2))});
+                             DecodeIds<std::set<AdapterId>>(model.at(2))});
   }
-  record.in_memory = DecodeIds<ModelId>(list.at(10));
-  record.on_disk = DecodeIds<ModelId>(list.at(11));
+  record.in_memory = DecodeIds<std::set<ModelId>>(list.at(10));
+  record.on_disk = DecodeIds<std::set<ModelId>>(list.at(11));
   return record;
 }
 
@@ -101,9 +104,7 @@
   for (const auto& record : list.at(1)) {
     news.changed.push_back(DecodeRecord(record));
   }
-  for (const auto& id : DecodeIds<UpstreamId>(list.at(2))) {
-    news.removed.push_back(id);
-  }
+  news.removed = DecodeIds<std::vector<UpstreamId>>(list.at(2));
   news.too_old = list.at(3).get<bool>();
   return news;
 }
@@ -159,12 +160,6 @@
                       EncodeIds(summary.unreachable)});
 }
 
-auto DecodeUpstreamIds(const Json& list) -> std::vector<UpstreamId> {
-  std::vector<UpstreamId> ids;
-  for (const auto& id : list) ids.emplace_back(id.get<std::string>());
-  return ids;
-}
-
 auto DecodeReport(const Json& list) -> FleetReport {
   FleetReport report;
   report.from = InstanceId(list.at(1).get<std::string>());
@@ -188,7 +183,7 @@
                             wants[i + 1].get<std::int64_t>()});
   }
   report.upstream_position = list.at(8).get<std::int64_t>();
-  report.unreachable = DecodeUpstreamIds(list.at(9));
+  report.unreachable = DecodeIds<std::vector<UpstreamId>>(list.at(9));
   return report;
 }
 
@@ -221,7 +216,7 @@
   summary.store_age = Duration(list.at(11).get<std::int64_t>());
   summary.news = DecodeNews(list.at(12));
   summary.lease_revision = list.at(13).get<std::int64_t>();
-  summary.unreachable = DecodeUpstreamIds(list.at(14));
+  summary.unreachable = DecodeIds<std::vector<UpstreamId>>(list.at(14));
   return summary;
 }
 
--- a/modules/serving/stream/event_splitter.cc
+++ b/modules/serving/stream/event_splitter.cc
@@ -1,22 +1,16 @@
 #include "serving/stream/event_splitter.h"
 
-#include <charconv>
+#include "core/text/parse_integer.h"
 
 namespace dotterellug::serving {
 namespace {
 
 constexpr std::string_view kIdField = "id:";
 
-auto ParseNumber(std::string_view text) -> std::optional<std::int64_t> {
+auto ParseEventId(std::string_view text) -> std::optional<std::int64_t> {
   while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
   while (!text.empty() && text.back() == '\r') text.remove_suffix(1);
-  std::int64_t number = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc() || end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
+  return ParseInteger(text);
 }
 
 }  // namespace
@@ -49,7 +43,7 @@
     } else {
       line_in_event = true;
       if (line.substr(0, kIdField.size()) == kIdField) {
-        if (const auto id = ParseNumber(line.substr(kIdField.size()))) {
+        if (const auto id = ParseEventId(line.substr(kIdField.size()))) {
           last_event_ = id;
         }
       }
--- a/modules/telemetry/telemetry.h
+++ b/modules/telemetry/telemetry.h
@@ -1,8 +1,9 @@
 #pragma once
 
-// Metrics by prometheus-cpp and logs by Boost.Log. Counters come first: a log
-// line is written only for a change of state, never for a request, and never
-// contains a key or a prompt. Needs: core, prometheus-cpp, Boost.Log.
+// Metrics by prometheus-cpp and logs by Boost.Log. The product's own
+// interface writes a log line only for a change of state; EventLog also has
+// bounded lines for requests. No line contains a key or a prompt. Needs: core,
+// prometheus-cpp, Boost.Log.
 
 #include "telemetry/events/event_log.h"
 #include "telemetry/logging/state_log.h"
