Keep the platform's names in platform/: move the stand-ins of its wire there

Cause: extras/soak named fields of entries, settings, configuration and requests, which belong to the platform folder alone. The store and the upstream stand-in and the documents that they exchange are now platform/standins, built with the tests only; the soak knows calls, runs, orders and faults. The stand-in tells an observer instead of writing into the soak's ledger. Ruled out: the daemon is unchanged; platform/standins is not part of its library.

--- a/extras/soak/callers.cc
+++ b/extras/soak/callers.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "platform/wire/names.h"
-#include "soak/backend.h"
+#include "platform/standins/platform_documents.h"
+#include "platform/standins/upstream_standin.h"
 
 namespace dotterellug::soak {
 namespace {
@@ -25,9 +25,11 @@
 
 // What a whole answer to the request consists of.
 auto Expected(CallKind kind, const std::string& id) -> std::string {
-  if (kind != CallKind::kStream) return Backend::Body(id);
+  if (kind != CallKind::kStream) return platform::UpstreamStandin::Body(id);
   std::string events;
-  for (int i = 1; i <= Backend::kEvents; ++i) events += Backend::Event(id, i);
+  for (int i = 1; i <= platform::UpstreamStandin::kEvents; ++i) {
+    events += platform::UpstreamStandin::Event(id, i);
+  }
   return events;
 }
 
@@ -35,8 +37,6 @@
 
 struct Callers::Call {
   std::size_t record = 0;
-  CallRecord facts;
-  std::string model;
   Connection connection;
   std::string body;
 };
@@ -70,27 +70,11 @@
   return std::nullopt;
 }
 
-auto Callers::Bytes(const Call& call) const -> std::string {
-  const auto& facts = call.facts;
-  std::string bytes =
-      "GET " + PathOf(facts.kind) + " HTTP/1.1\r\nHost: soak\r\n";
-  const auto add = [&](std::string_view name, const std::string& value) {
-    bytes += std::string(name) + ": " + value + "\r\n";
-  };
-  add(platform::kRequestIdField, facts.id);
-  add(platform::kDeadlineField,
-      std::to_string(static_cast<int>(facts.time_limit * 1000)));
-  add(platform::kAuthorizationField,
-      std::string(platform::kKeyScheme) + facts.key);
-  if (!call.model.empty()) add(platform::kModelField, call.model);
-  return bytes + "\r\n";
-}
-
 auto Callers::SendOne() -> void {
   const auto daemon = Choose();
   if (!daemon) return;
   const auto call = std::make_shared<Call>();
-  auto& facts = call->facts;
+  CallRecord facts;
   facts.id = prefix_ + std::to_string(++sent_);
   facts.kind = static_cast<CallKind>(random_.Below(3));
   const auto& key = keys[random_.Below(keys.size())];
@@ -101,7 +85,6 @@
   facts.sent_at = clock_();
   const bool stream = facts.kind == CallKind::kStream;
   facts.time_limit = stream ? kStreamLimit : kCallLimit;
-  if (stream) call->model = models[random_.Below(models.size())];
   auto& kept = kept_[*daemon];
   while (!kept.empty() && !call->connection) {
     if (kept.back()->Reusable()) call->connection = kept.back();
@@ -123,14 +106,17 @@
   handlers.on_end = [this, call](eventhttp::ExchangeEnd end) {
     OnEnd(call, end);
   };
-  call->connection->Exchange(Bytes(*call), std::move(handlers));
+  const platform::CallerRequest request{
+      facts.id, PathOf(facts.kind), facts.key, FromSeconds(facts.time_limit),
+      stream ? models[random_.Below(models.size())] : std::string()};
+  call->connection->Exchange(platform::EncodeCallerRequest(request),
+                             std::move(handlers));
 }
 
 auto Callers::OnHead(Call& call, const eventhttp::ResponseHead& head) -> void {
   auto& record = ledger_.calls[call.record];
   record.status = head.status;
-  record.has_receipt =
-      FindField(head.fields, platform::kReceiptField) != nullptr;
+  record.has_receipt = platform::HasReceipt(head);
 }
 
 auto Callers::OnEnd(const std::shared_ptr<Call>& call,
--- a/extras/soak/callers.h
+++ b/extras/soak/callers.h
@@ -47,7 +47,6 @@
 
   auto SendOne() -> void;
   auto Choose() -> std::optional<std::size_t>;
-  auto Bytes(const Call& call) const -> std::string;
   auto OnHead(Call& call, const eventhttp::ResponseHead& head) -> void;
   auto OnEnd(const std::shared_ptr<Call>& call, eventhttp::ExchangeEnd end)
       -> void;
--- a/extras/soak/daemon_process.cc
+++ b/extras/soak/daemon_process.cc
@@ -9,8 +9,6 @@
 #include <csignal>
 #include <cstring>
 
-#include "platform/wire/names.h"
-
 namespace dotterellug::soak {
 
 DaemonProcess::~DaemonProcess() {
@@ -20,8 +18,6 @@
 }
 
 auto DaemonProcess::Start() -> Result<void> {
-  const auto variable =
-      std::string(platform::kSettingsVariable) + "=" + plan_.settings_file;
   const auto child = ::fork();
   if (child < 0) {
     return Fail(ErrorKind::kUnavailable,
@@ -36,8 +32,7 @@
     std::string platform = "--platform";
     std::array<char*, 3> arguments{plan_.program.data(), platform.data(),
                                    nullptr};
-    auto setting = variable;
-    std::array<char*, 2> environment{setting.data(), nullptr};
+    std::array<char*, 2> environment{plan_.environment.data(), nullptr};
     ::execve(plan_.program.c_str(), arguments.data(), environment.data());
     ::_exit(127);
   }
--- a/extras/soak/daemon_process.h
+++ b/extras/soak/daemon_process.h
@@ -8,10 +8,11 @@
 
 namespace dotterellug::soak {
 
-// Where one daemon finds its settings and writes its log.
+// How one daemon is started.
 struct DaemonPlan {
   std::string program;
-  std::string settings_file;
+  // Entry of its environment that names its settings file.
+  std::string environment;
   std::string log_file;
 };
 
--- a/extras/soak/world.cc
+++ b/extras/soak/world.cc
@@ -10,13 +10,12 @@
 #include <map>
 #include <utility>
 
-#include "platform/wire/names.h"
+#include "platform/standins/platform_documents.h"
+#include "platform/standins/upstream_standin.h"
 
 namespace dotterellug::soak {
 namespace {
 
-using platform::Json;
-
 constexpr Seconds kCalmBegin = 3;
 constexpr Seconds kCalmEnd = 7;
 constexpr Seconds kReadyTimeout = 15;
@@ -27,15 +26,8 @@
 constexpr std::int64_t kLimitedBurst = 30;
 const std::vector<std::string> kModels{"m1", "m2", "m3", "m4"};
 const std::vector<std::string> kZones{"a", "b"};
-
-auto Route(const char* name, const char* kind, const char* service,
-           int timeout_ms) -> Json {
-  return {{"name", name},       {"host", "soak"},
-          {"kind", kind},       {"pathPrefix", std::string("/") + name + "/"},
-          {"service", service}, {"timeoutMs", timeout_ms},
-          {"goalMs", 400},      {"gapTargetMs", 300},
-          {"attempts", 3},      {"resumable", true}};
-}
+constexpr const char* kPlainPool = "plain";
+constexpr const char* kEnginePool = "engines";
 
 }  // namespace
 
@@ -52,12 +44,13 @@
 };
 
 struct World::Upstream {
-  Upstream(boost::asio::io_context& loop, PlatformStore& store, Ledger& ledger,
-           const Backend::Clock& clock, BackendPlan plan, std::uint64_t seed)
-      : backend(loop, store, ledger, clock, std::move(plan), seed),
+  Upstream(boost::asio::io_context& loop, platform::StoreStandin& store,
+           platform::UpstreamObserver observer, platform::UpstreamPlan plan,
+           std::uint64_t seed)
+      : backend(loop, store, std::move(observer), std::move(plan), seed),
         link(loop, backend.Address()) {}
 
-  Backend backend;
+  platform::UpstreamStandin backend;
   FaultProxy link;
   bool gone = false;
 };
@@ -75,10 +68,10 @@
                                  static_cast<double>(kLimitedBurst)};
   ChangeKeys();
   for (const auto& zone : kZones) {
-    AddUpstream("plain", zone, {});
-    AddUpstream("plain", zone, {});
-    AddUpstream("engines", zone, {"m1", "m2"});
-    AddUpstream("engines", zone, {"m3", "m4"});
+    AddUpstream(kPlainPool, zone, {});
+    AddUpstream(kPlainPool, zone, {});
+    AddUpstream(kEnginePool, zone, {"m1", "m2"});
+    AddUpstream(kEnginePool, zone, {"m3", "m4"});
   }
   for (std::size_t i = 0; i < plan_.daemons; ++i) AddDaemon(i);
 }
@@ -106,63 +99,54 @@
                   std::to_string(index + 1);
   const auto name = "d" + std::to_string(index + 1);
   const auto file = plan_.work + "/" + name + ".json";
-  auto daemon = std::make_unique<Daemon>(
-      loop_, store_.Address(),
-      DaemonPlan{plan_.program, file, plan_.work + "/" + name + ".log"});
-  daemon->readiness = {ip, 8224};
-  const Json settings{
-      {"nodeName", name},
-      {"ip", ip},
-      {"zone", kZones[index % kZones.size()]},
-      {"listen", {{"front", ip + ":8221"}, {"ready", ip + ":8224"}}},
-      {"portRange", {7600, 7615}},
-      {"limits", {{"cpuShare", 0.25}, {"cores", 1}}},
-      {"heartbeatMs", 1200},
-      {"provider", {{"addr", daemon->store_link.Address().Text()}}}};
-  std::ofstream(file) << settings.dump(2);
-  callers_.targets.push_back({{ip, 8221}, true});
+  const DaemonPlan process_plan{plan_.program,
+                                platform::SettingsEnvironment(file),
+                                plan_.work + "/" + name + ".log"};
+  auto daemon = std::make_unique<Daemon>(loop_, store_.Address(), process_plan);
+  const platform::DaemonPlace place{name, ip, kZones[index % kZones.size()],
+                                    daemon->store_link.Address()};
+  std::ofstream(file) << platform::MakeSettingsFile(place);
+  daemon->readiness = place.Readiness();
+  callers_.targets.push_back({place.Callers(), true});
   daemons_.push_back(std::move(daemon));
 }
 
 auto World::AddUpstream(const std::string& pool, const std::string& zone,
                         std::vector<std::string> models) -> void {
-  BackendPlan plan;
+  platform::UpstreamPlan plan;
   plan.id = pool + "-" + std::to_string(++upstream_number_);
   plan.pool = pool;
   plan.zone = zone;
   plan.slots = 16;
   plan.models = std::move(models);
   const auto seed = plan_.seed + static_cast<std::uint64_t>(upstream_number_);
+  platform::UpstreamObserver observer;
+  observer.on_run = [this, id = plan.id](const auto& request,
+                                         const auto& account) {
+    ledger_.runs.push_back({request, account, id, Now()});
+  };
+  observer.on_order = [this, id = plan.id](const auto& holder, auto fence) {
+    ledger_.orders.push_back({id, holder, fence, Now()});
+  };
   upstreams_.push_back(std::make_unique<Upstream>(
-      loop_, store_, ledger_, [this] { return Now(); }, std::move(plan), seed));
+      loop_, store_, std::move(observer), std::move(plan), seed));
   auto& upstream = *upstreams_.back();
   upstream.backend.Register(upstream.link.Address());
 }
 
 auto World::WriteConfiguration() -> void {
-  auto models = Json::array();
-  for (const auto& model : kModels) {
-    models.push_back({{"name", model}, {"weightsMb", 100}, {"loadS", 0.6}});
-  }
-  const Json engine{{"slots", 16},      {"kvCapacity", 100'000},
-                    {"weightsMb", 320}, {"adapterSlots", 0},
-                    {"loadsPerS", 4},   {"models", models}};
-  const Json config{
-      {"version", ++version_},
-      {"routes",
-       {Route("once", "non_idempotent", "plain", 2000),
-        Route("read", "idempotent", "plain", 2000),
-        Route("stream", "stream", "engines", 5000)}},
-      {"services",
-       {{{"name", "plain"}}, {{"name", "engines"}, {"engine", engine}}}},
-      {"tenants",
-       {{{"name", "open"},
-         {"apiKeys", {"key-open", "key-" + std::to_string(key_number_)}}},
-        {{"name", "limited"},
-         {"ratePerS", kLimitedRate},
-         {"burst", kLimitedBurst},
-         {"apiKeys", {"key-limited"}}}}}};
-  store_.Put(std::string(platform::kConfigKind), "main", config);
+  platform::ConfigurationPlan plan;
+  plan.version = ++version_;
+  plan.routes = {
+      {"once", "non_idempotent", kPlainPool, std::chrono::seconds(2)},
+      {"read", "idempotent", kPlainPool, std::chrono::seconds(2)},
+      {"stream", "stream", kEnginePool, std::chrono::seconds(5)}};
+  plan.plain_pool = kPlainPool;
+  plan.engine_pool = kEnginePool;
+  plan.models = kModels;
+  plan.accounts = {{"open", {"key-open", "key-" + std::to_string(key_number_)}},
+                   {"limited", {"key-limited"}, kLimitedRate, kLimitedBurst}};
+  platform::PutConfiguration(store_, plan);
 }
 
 // Removes the key that changes and adds another one. Callers go on using the
@@ -196,9 +180,7 @@
         After(0.1, [&, index] { ask(index); });
       }
     };
-    connection->Exchange("GET " + std::string(platform::kReadyPath) +
-                             " HTTP/1.1\r\nHost: soak\r\n\r\n",
-                         std::move(handlers));
+    connection->Exchange(platform::ReadinessRequest(), std::move(handlers));
   };
   for (std::size_t i = 0; i < daemons_.size(); ++i) ask(i);
   const auto end = Now() + kReadyTimeout;
@@ -314,7 +296,7 @@
 
 auto World::HarmStore(Seconds duration) -> void {
   if (store_.Away()) return;
-  StoreFaults faults;
+  platform::StoreFaults faults;
   const auto kind = random_.Below(3);
   if (kind == 0) faults.away = true;
   if (kind == 1) faults.rejected_part = 0.5;
@@ -344,7 +326,7 @@
                                        "is delayed", "is cut", "cannot answer"};
   Note(upstream.backend.Plan().id + " " + names[kind], FaultScope::kUpstream,
        -1, duration);
-  BackendFaults faults;
+  platform::UpstreamFaults faults;
   if (kind == 0) faults.broken_part = 0.4;
   if (kind == 1) faults.failed_part = 0.4;
   if (kind == 2) faults.delay = std::chrono::milliseconds(300);
--- a/extras/soak/world.h
+++ b/extras/soak/world.h
@@ -8,12 +8,11 @@
 #include <vector>
 
 #include "core/core.h"
-#include "soak/backend.h"
+#include "platform/standins/store_standin.h"
 #include "soak/callers.h"
 #include "soak/daemon_process.h"
 #include "soak/fault_proxy.h"
 #include "soak/ledger.h"
-#include "soak/platform_store.h"
 
 namespace dotterellug::soak {
 
@@ -70,7 +69,7 @@
   Timestamp began_;
   Random random_;
   Ledger ledger_;
-  PlatformStore store_;
+  platform::StoreStandin store_;
   Callers callers_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
   // Those that have left stay, since requests may still run there.
