Bound what an upstream in trouble may send, and tell that a caller has left

Cause: an upstream may send bytes without end, and nothing bounded chunk extensions, trailers, fields without a blank line, the body of a buffered call or an event of a stream; EventSplitter searched all pending bytes for each piece. Change: limits in ClientConnection, CallBuffered and EventSplitter; an exchange may be cancelled from its own handler; ServerSession::ClientHasLeft. ColdStartLimiter remembers which upstreams it may use, since each check hashes all daemons. Result: the new cases of AnswerTest, BufferedCallEndsAtItsLargestBody, TellsThatAnEventHasNoEnd and TellsThatAClientLeftBeforeItsRequestWasRead pass; FieldsWithoutEnd did not end before.

--- a/modules/eventhttp/client/buffered_call.cc
+++ b/modules/eventhttp/client/buffered_call.cc
@@ -44,8 +44,12 @@
     call->answer.status = head.status;
     return HeadVerdict::kAccept;
   };
-  handlers.on_body = [call](std::string_view piece) {
+  handlers.on_body = [call,
+                      limit = options.max_body_bytes](std::string_view piece) {
     call->answer.body += piece;
+    if (call->answer.body.size() <= limit) return;
+    call->connection->Cancel();
+    call->End(ExchangeEnd::kProtocolError);
   };
   handlers.on_end = [&connections, call](ExchangeEnd end) {
     connections.Release(call->connection);
--- a/modules/eventhttp/client/buffered_call.h
+++ b/modules/eventhttp/client/buffered_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -24,10 +25,13 @@
   Duration timeout{0};
   // A kept connection that was idle for longer is not used.
   Duration max_idle{0};
+  // A larger body ends the call as kProtocolError, and its connection is
+  // closed. The default is several times the largest page of a list.
+  std::size_t max_body_bytes = 8'388'608;
 };
 
 // Sends the bytes of `request` to `address` and hands over the whole answer,
-// once. For small answers of the platform; nothing bounds their size.
+// once. For answers of the platform that fit into memory.
 auto CallBuffered(boost::asio::io_context& loop, ConnectionPool& connections,
                   const SocketAddress& address, std::string request,
                   const CallOptions& options,
--- a/modules/eventhttp/client/client_connection.cc
+++ b/modules/eventhttp/client/client_connection.cc
@@ -21,6 +21,9 @@
 
 // Response heads beyond this size are an error of the server.
 constexpr std::uint32_t kHeaderLimit = 65'536;
+// Chunk headers and trailers beyond this size are an error of the server. The
+// parser has no limit for them and asks for more input until they end.
+constexpr std::size_t kMaxUnparsedBytes = 65'536;
 
 // The `timeout` parameter of a Keep-Alive field, in whole seconds.
 auto KeepAliveTimeout(const HeaderFields& fields) -> std::optional<Duration> {
@@ -45,7 +48,7 @@
 auto ClientConnection::Exchange(std::string request, ExchangeHandlers handlers,
                                 bool expect_body) -> void {
   request_ = std::move(request);
-  handlers_ = std::move(handlers);
+  handlers_ = std::make_shared<ExchangeHandlers>(std::move(handlers));
   on_lost_ = nullptr;
   expect_body_ = expect_body;
   active_ = true;
@@ -67,6 +70,7 @@
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (!expect_body_) parser_->skip(true);
   head_done_ = false;
+  head_bytes_ = 0;
   skipping_ = false;
 }
 
@@ -139,14 +143,21 @@
 
 auto ClientConnection::ParseInput() -> void {
   const auto self = shared_from_this();
+  const auto handlers = handlers_;
   while (active_ && !closed_ && !input_.empty()) {
     boost::beast::error_code error;
     const auto used = parser_->Feed(input_, error);
     input_.erase(0, used);
+    if (!parser_->is_header_done()) {
+      head_bytes_ += used;
+      if (head_bytes_ + input_.size() > kHeaderLimit) {
+        return Finish(ExchangeEnd::kProtocolError);
+      }
+    }
     if (parser_->is_header_done() && !head_done_ && !HeadRead()) return;
     if (head_done_ && !parser_->Body().empty()) {
       const auto body = parser_->TakeBody();
-      if (!skipping_) handlers_.on_body(body);
+      if (!skipping_) handlers->on_body(body);
       if (!active_ || closed_) return;
     }
     if (error) {
@@ -156,7 +167,9 @@
     if (parser_->is_done()) {
       Complete();
     } else if (used == 0) {
-      return;
+      if (input_.size() <= kMaxUnparsedBytes) return;
+      return Finish(head_done_ ? ExchangeEnd::kTruncated
+                               : ExchangeEnd::kProtocolError);
     }
   }
 }
@@ -173,7 +186,7 @@
     return true;
   }
   head_done_ = true;
-  const auto verdict = handlers_.on_head(parser_->Head());
+  const auto verdict = handlers_->on_head(parser_->Head());
   if (!active_ || closed_) return false;
   if (verdict == HeadVerdict::kReject) {
     Finish(ExchangeEnd::kProtocolError);
@@ -214,10 +227,9 @@
   if (!active_) return;
   active_ = false;
   if (end != ExchangeEnd::kComplete || !reusable_) Close();
-  const auto handlers = std::move(handlers_);
-  handlers_ = {};
+  const auto handlers = std::exchange(handlers_, nullptr);
   request_.shrink_to_fit();
-  handlers.on_end(end);
+  handlers->on_end(end);
 }
 
 auto ClientConnection::WatchIdle(std::function<void()> on_lost) -> void {
@@ -227,7 +239,7 @@
 
 auto ClientConnection::Cancel() -> void {
   active_ = false;
-  handlers_ = {};
+  handlers_.reset();
   on_lost_ = nullptr;
   Close();
 }
--- a/modules/eventhttp/client/client_connection.h
+++ b/modules/eventhttp/client/client_connection.h
@@ -83,7 +83,9 @@
   std::string request_;
   std::string input_;
   std::optional<ResponseParser> parser_;
-  ExchangeHandlers handlers_;
+  // Shared with the function that calls a handler, since the handler may cancel
+  // the exchange.
+  std::shared_ptr<ExchangeHandlers> handlers_;
   std::function<void()> on_lost_;
   std::optional<Duration> server_idle_timeout_;
   bool connected_ = false;
@@ -94,6 +96,8 @@
   bool request_sent_ = false;
   bool expect_body_ = true;
   bool head_done_ = false;
+  // Bytes of the response head that the parser has used.
+  std::size_t head_bytes_ = 0;
   bool skipping_ = false;
   bool reusable_ = false;
 };
--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -64,6 +64,15 @@
   if (answering && gone) gone();
 }
 
+auto ServerSession::ClientHasLeft() -> bool {
+  if (state_ == State::kClosed) return true;
+  char next = 0;
+  boost::system::error_code error;
+  socket_.receive(boost::asio::buffer(&next, 1),
+                  boost::asio::socket_base::message_peek, error);
+  return error && error != boost::asio::error::would_block;
+}
+
 auto ServerSession::ParseInput() -> void {
   if (input_.empty()) return;
   if (state_ == State::kIdle) {
--- a/modules/eventhttp/server/server_session.h
+++ b/modules/eventhttp/server/server_session.h
@@ -40,6 +40,9 @@
   auto OnGone(std::function<void()> handler) -> void {
     on_gone_ = std::move(handler);
   }
+  // Whether the client has closed the connection already. OnGone would only be
+  // called after the next read, which can be late if the process was paused.
+  auto ClientHasLeft() -> bool;
   // Called when bytes that waited to be sent have been handed to the kernel.
   auto OnDrained(std::function<void()> handler) -> void {
     on_drained_ = std::move(handler);
--- a/modules/eventhttp/tests/client_tests.cc
+++ b/modules/eventhttp/tests/client_tests.cc
@@ -48,6 +48,16 @@
   ScriptedPeer peer_{loop_};
 };
 
+// More bytes than any part of an answer may have that must end before the body
+// goes on.
+constexpr std::size_t kEndless = 100'000;
+
+auto ManyFields() -> std::string {
+  std::string fields;
+  while (fields.size() < kEndless) fields += "A: b\r\n";
+  return fields;
+}
+
 struct AnswerCase {
   std::string name;
   std::string bytes;
@@ -102,7 +112,22 @@
         AnswerCase{"PartOfHead", "HTTP/1.1 200 OK\r\nCont", true, false,
                    ExchangeEnd::kNoResponse, ""},
         AnswerCase{"OtherBytes", "garbage\r\n\r\n", false, false,
-                   ExchangeEnd::kProtocolError, ""}),
+                   ExchangeEnd::kProtocolError, ""},
+        AnswerCase{"HeadWithoutEnd",
+                   "HTTP/1.1 200 OK\r\nA: " + std::string(kEndless, 'a'), false,
+                   false, ExchangeEnd::kProtocolError, ""},
+        AnswerCase{"FieldsWithoutEnd", "HTTP/1.1 200 OK\r\n" + ManyFields(),
+                   false, false, ExchangeEnd::kProtocolError, ""},
+        AnswerCase{"ChunkExtensionWithoutEnd",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "1\r\na\r\n1;x=" +
+                       std::string(kEndless, 'a'),
+                   false, false, ExchangeEnd::kTruncated, "a"},
+        AnswerCase{"TrailerWithoutEnd",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "1\r\na\r\n0\r\n" +
+                       ManyFields(),
+                   false, false, ExchangeEnd::kTruncated, "a"}),
     [](const auto& info) { return info.param.name; });
 
 TEST_F(ClientTest, RefusedConnectionMeansNotSent) {
@@ -131,6 +156,40 @@
   EXPECT_EQ(seen.end, ExchangeEnd::kComplete);
 }
 
+// Guards against bytes after a complete answer that are taken for the answer to
+// the next request.
+TEST_F(ClientTest, BytesAfterAnAnswerCloseTheConnection) {
+  peer_.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab" +
+                   std::string(kEndless, 'c')};
+  const auto connection =
+      std::make_shared<ClientConnection>(loop_, peer_.Address());
+  const auto seen = Exchange(connection);
+  EXPECT_EQ(seen.end, ExchangeEnd::kComplete);
+  EXPECT_EQ(seen.body, "ab");
+  EXPECT_FALSE(connection->Reusable());
+}
+
+// Guards against memory that grows with an answer of the platform or an engine
+// that has no end.
+TEST_F(ClientTest, BufferedCallEndsAtItsLargestBody) {
+  peer_.answers = {"HTTP/1.1 200 OK\r\n\r\n" + std::string(kEndless, 'a')};
+  ConnectionPool pool(loop_, {});
+  CallOptions options;
+  options.timeout = std::chrono::seconds(4);
+  options.max_body_bytes = 50'000;
+  std::optional<BufferedAnswer> answer;
+  CallBuffered(loop_, pool, peer_.Address(),
+               "GET / HTTP/1.1\r\nHost: h\r\n\r\n", options,
+               [&](const BufferedAnswer& given) { answer = given; });
+  const auto begin = MonotonicNow();
+  Run([&] { return answer.has_value(); });
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->end, ExchangeEnd::kProtocolError);
+  EXPECT_LT(MonotonicNow() - begin, std::chrono::seconds(2));
+  Run([&] { return peer_.Ended() > 0; });
+  EXPECT_EQ(peer_.Ended(), 1);
+}
+
 TEST_F(ClientTest, PoolUsesAConnectionAgain) {
   peer_.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
--- a/modules/eventhttp/tests/scripted_peer.h
+++ b/modules/eventhttp/tests/scripted_peer.h
@@ -70,14 +70,22 @@
   }
 
   auto Answer(const Socket& socket) -> void {
-    if (next_ < answers.size()) {
-      boost::asio::write(*socket, boost::asio::buffer(answers[next_++]));
-    }
-    if (next_ < answers.size()) return;
+    if (next_ >= answers.size()) return AfterAnswer(socket);
+    const auto bytes = std::make_shared<std::string>(answers[next_++]);
+    boost::asio::async_write(
+        *socket, boost::asio::buffer(*bytes),
+        [this, socket, bytes](boost::system::error_code, std::size_t) {
+          AfterAnswer(socket);
+        });
+  }
+
+  auto AfterAnswer(const Socket& socket) -> void {
+    if (next_ < answers.size() || !socket->is_open()) return;
+    boost::system::error_code ignored;  // The connection may be closed already.
     if (reset_after_answers) {
-      socket->set_option(boost::asio::socket_base::linger(true, 0));
+      socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
-    if (close_after_answers || reset_after_answers) socket->close();
+    if (close_after_answers || reset_after_answers) socket->close(ignored);
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/modules/eventhttp/tests/server_tests.cc
+++ b/modules/eventhttp/tests/server_tests.cc
@@ -161,6 +161,26 @@
   EXPECT_TRUE(gone);
 }
 
+// Guards against upstream work for a client that left before its request was
+// read, for example while the process was paused.
+TEST_F(ServerTest, TellsThatAClientLeftBeforeItsRequestWasRead) {
+  answer_ = false;
+  RawClient patient(loop_, address_);
+  patient.Send("GET / HTTP/1.1\r\n\r\n");
+  Run([&] { return !sessions_.empty(); });
+  EXPECT_FALSE(sessions_[0]->ClientHasLeft());
+  auto client = std::make_unique<RawClient>(loop_, address_);
+  client->Send("GET / HTTP/1.1\r\n\r\n");
+  client->Close();
+  bool left = false;
+  answer_ = false;
+  Run([&] {
+    if (sessions_.size() > 1) left = sessions_[1]->ClientHasLeft();
+    return sessions_.size() > 1;
+  });
+  EXPECT_TRUE(left);
+}
+
 TEST_F(ServerTest, AnAbortedStreamIsNotComplete) {
   answer_ = false;
   RawClient client(loop_, address_);
--- a/modules/serving/dispatch/cold_start_limiter.cc
+++ b/modules/serving/dispatch/cold_start_limiter.cc
@@ -15,10 +15,18 @@
 
 auto ColdStartLimiter::SetMembers(std::vector<InstanceId> members) -> void {
   members_ = std::move(members);
+  eligible_.clear();
 }
 
-auto ColdStartLimiter::Eligible(const UpstreamId& upstream) const -> bool {
+auto ColdStartLimiter::Eligible(const UpstreamId& upstream) -> bool {
   if (members_.size() <= kMaxSenders) return true;
+  const auto [entry, added] = eligible_.try_emplace(upstream, false);
+  if (added) entry->second = RanksAmongSenders(upstream);
+  return entry->second;
+}
+
+auto ColdStartLimiter::RanksAmongSenders(const UpstreamId& upstream) const
+    -> bool {
   const auto weight = [&](const InstanceId& member) {
     return RendezvousWeight(upstream.Value(), member.Value());
   };
@@ -51,6 +59,7 @@
 auto ColdStartLimiter::Sweep(Timestamp now) -> void {
   for (auto bucket = buckets_.begin(); bucket != buckets_.end();) {
     const bool old = now - bucket->second.updated_at > kBucketTtl;
+    if (old) eligible_.erase(bucket->first);
     bucket = old ? buckets_.erase(bucket) : std::next(bucket);
   }
 }
--- a/modules/serving/dispatch/cold_start_limiter.h
+++ b/modules/serving/dispatch/cold_start_limiter.h
@@ -35,11 +35,16 @@
     Timestamp updated_at{};
   };
 
-  auto Eligible(const UpstreamId& upstream) const -> bool;
+  // Whether this daemon is one of those that share the rate of the upstream.
+  auto Eligible(const UpstreamId& upstream) -> bool;
+  auto RanksAmongSenders(const UpstreamId& upstream) const -> bool;
 
   InstanceId self_;
   std::vector<InstanceId> members_;
   std::unordered_map<UpstreamId, Bucket> buckets_;
+  // Results of RanksAmongSenders, which hashes the ids of all daemons, until
+  // the members change.
+  std::unordered_map<UpstreamId, bool> eligible_;
 };
 
 }  // namespace dotterellug::serving
--- a/modules/serving/stream/event_splitter.cc
+++ b/modules/serving/stream/event_splitter.cc
@@ -16,16 +16,21 @@
 }  // namespace
 
 auto EventSplitter::Feed(std::string_view bytes) -> std::string {
+  // The end of an event may begin in the last two bytes that are pending.
+  const auto searched =
+      pending_.size() < 2 ? std::size_t{0} : pending_.size() - 2;
   pending_ += bytes;
-  auto end = pending_.rfind("\n\n");
+  const auto unsearched = std::string_view(pending_).substr(searched);
+  auto end = unsearched.rfind("\n\n");
   auto length = std::size_t{2};
-  const auto carriage = pending_.rfind("\n\r\n");
-  if (carriage != std::string::npos &&
-      (end == std::string::npos || carriage > end)) {
+  const auto carriage = unsearched.rfind("\n\r\n");
+  if (carriage != std::string_view::npos &&
+      (end == std::string_view::npos || carriage > end)) {
     end = carriage;
     length = 3;
   }
-  if (end == std::string::npos) return {};
+  if (end == std::string_view::npos) return {};
+  end += searched;
   auto complete = pending_.substr(0, end + length);
   pending_.erase(0, end + length);
   CountEvents(complete);
--- a/modules/serving/stream/event_splitter.h
+++ b/modules/serving/stream/event_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,10 +12,17 @@
 // so that another upstream can continue the stream after a complete event.
 class EventSplitter {
  public:
+  static constexpr std::size_t kMaxEventBytes = 262'144;
+
   // Appends bytes and returns the events that are now complete.
   auto Feed(std::string_view bytes) -> std::string;
   // Bytes of the incomplete last event.
   auto PendingBytes() const -> const std::string& { return pending_; }
+  // Whether the incomplete event is larger than any event of an upstream that
+  // works, so that the stream should be given up.
+  auto EventTooLarge() const -> bool {
+    return pending_.size() > kMaxEventBytes;
+  }
   // Discards the incomplete event; another upstream sends it again.
   auto DiscardPending() -> void { pending_.clear(); }
   // Id of the last complete event whose id is a number.
--- a/modules/serving/tests/serving_tests.cc
+++ b/modules/serving/tests/serving_tests.cc
@@ -109,6 +109,20 @@
   }
 }
 
+// Guards against memory and time that grow with an event that has no end.
+TEST(EventSplitterTest, TellsThatAnEventHasNoEnd) {
+  EventSplitter splitter;
+  splitter.Feed("id: 1\ndata: a\n\ndata: ");
+  EXPECT_FALSE(splitter.EventTooLarge());
+  const std::string piece(1024, 'x');
+  for (std::size_t i = 0; i <= EventSplitter::kMaxEventBytes / 1024; ++i) {
+    EXPECT_TRUE(splitter.Feed(piece).empty());
+  }
+  EXPECT_TRUE(splitter.EventTooLarge());
+  EXPECT_EQ(splitter.Feed("\n\nid: 2\n").substr(0, 6), "data: ");
+  EXPECT_FALSE(splitter.EventTooLarge());
+}
+
 TEST(EventSplitterTest, BuffersIncompleteEvent) {
   EventSplitter splitter;
   EXPECT_EQ(splitter.Feed("id: 7\ndata: x\n\nid: 8\ndata: par"),
