--- a/modules/placement/copies/adapter_planner.cc
+++ b/modules/placement/copies/adapter_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <unordered_map>
 
 namespace dotterellug {
 namespace {
@@ -16,9 +17,11 @@
  public:
   explicit AdapterPlanBuilder(const AdapterPlannerInput& input)
       : input_(input) {
-    for (const auto& engine : input.engines) {
+    for (std::size_t i = 0; i < input.engines.size(); ++i) {
+      const auto& engine = input.engines[i];
       std::int64_t used = 0;
       for (const auto& [model, adapters] : engine.held) {
+        engines_with_model_[model].push_back(i);
         used += static_cast<std::int64_t>(adapters.size());
         for (const auto& adapter : adapters) ++copy_counts_[{model, adapter}];
       }
@@ -66,7 +69,7 @@
 
   auto Place(const Adapter& adapter, bool may_evict) -> void {
     std::optional<std::size_t> best;
-    for (std::size_t i = 0; i < input_.engines.size(); ++i) {
+    for (const auto i : EnginesWith(adapter.first)) {
       if (!CanLoad(i, adapter) || free_slots_[i] <= 0) continue;
       if (!best || free_slots_[i] > free_slots_[*best]) best = i;
     }
@@ -80,6 +83,14 @@
     if (may_evict) UnloadToFreeSlot(adapter);
   }
 
+  // Engines on which the model is loaded, in the order of the input.
+  auto EnginesWith(const ModelId& model) const
+      -> const std::vector<std::size_t>& {
+    static const std::vector<std::size_t> kNone;
+    const auto found = engines_with_model_.find(model);
+    return found == engines_with_model_.end() ? kNone : found->second;
+  }
+
   auto CanLoad(std::size_t index, const Adapter& adapter) const -> bool {
     if (!available_[index]) return false;
     const auto held = input_.engines[index].held.find(adapter.first);
@@ -92,7 +103,7 @@
   // requested. The load follows in a later call, when the slot is free.
   auto UnloadToFreeSlot(const Adapter& adapter) -> void {
     const bool is_requested = input_.requested.count(adapter) > 0;
-    for (std::size_t i = 0; i < input_.engines.size(); ++i) {
+    for (const auto i : EnginesWith(adapter.first)) {
       if (!CanLoad(i, adapter)) continue;
       std::optional<Adapter> victim;
       for (const auto& [model, adapters] : input_.engines[i].held) {
@@ -118,6 +129,7 @@
   }
 
   const AdapterPlannerInput& input_;
+  std::unordered_map<ModelId, std::vector<std::size_t>> engines_with_model_;
   std::map<Adapter, int> copy_counts_;
   std::vector<std::int64_t> free_slots_;
   std::vector<bool> available_;
