--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,7 +16,7 @@
 namespace dotterellug::gateway {
 
 // How far this daemon has read the changes of each kind of object in the
-// store: configuration, upstreams, zones taken out.
+// store: configuration, upstreams, zones taken out, members.
 using StorePositions = std::vector<std::int64_t>;
 
 // A daemon that registered itself in the platform's store.
@@ -27,6 +28,7 @@
   double capacity = 0;
   // Revision of the registration, for removing it.
   std::int64_t revision = 0;
+  AvailabilityZoneId zone;
 };
 
 // What the platform tells the gateway. Calls come on the event loop.
@@ -89,9 +91,14 @@
   // Whether another daemon's positions come regularly, so that the own watches
   // may wait longer.
   std::function<void(bool)> set_backed;
+  // Whether to read configuration, zones and members from the store only after
+  // catch_up has told of a change.
+  std::function<void(bool)> set_on_demand;
   // Whether to read the list of upstreams from the store; when that begins
   // again, the list is read whole.
   std::function<void(bool)> follow_upstreams;
+  // How long a read of the list of upstreams waits for a change.
+  std::function<void(std::chrono::milliseconds)> set_upstream_wait;
   // The reply tells whether the registration was written; the list of members
   // shows it a little later.
   std::function<void(const Member&, std::function<void(const Result<void>&)>)>
--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -9,16 +9,31 @@
 namespace dotterellug::gateway {
 namespace {
 
-// How often a daemon reports to its hub.
-constexpr auto kReportInterval = std::chrono::milliseconds(150);
 // A hub that answered within this time backs the own watches.
 constexpr auto kBackedTime = std::chrono::milliseconds(1000);
 // A hub's news of upstreams count as current while the store has answered it
 // within this time: leaving upstreams are to be known within two seconds.
 constexpr auto kFreshStore = std::chrono::milliseconds(1300);
 constexpr auto kNewsLifetime = std::chrono::milliseconds(1600);
+// The same for news from a zone hub. It is longer, so that the zone hub turns
+// to the store first when the fleet hub's news end.
+constexpr auto kRelayedNewsLifetime = std::chrono::milliseconds(2300);
+// A daemon reads the store on demand if a zone hub answered within this time,
+// which covers the change to another zone hub.
+constexpr auto kZoneHubLifetime = std::chrono::milliseconds(2500);
 // Shortest time between two reports, when a request waits for one.
 constexpr auto kLeastInterval = std::chrono::milliseconds(8);
+// How often the fleet hub looks for tokens for which requests wait.
+constexpr auto kGrantInterval = std::chrono::milliseconds(10);
+// A report that asked for tokens is followed by another one after this time if
+// requests still wait. Longer than FleetMemberOptions::zone_hub_patience.
+constexpr auto kTokenRepeatInterval = std::chrono::milliseconds(45);
+// A periodic report may be sent this much early, with tokens that are due.
+constexpr auto kReportSlack = std::chrono::milliseconds(5);
+// With zone hubs, what the reader of upstreams knows is passed on twice, so it
+// asks the store more often than otherwise.
+constexpr auto kUpstreamWait = std::chrono::milliseconds(1000);
+constexpr auto kRelayedUpstreamWait = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -27,17 +42,19 @@
       incarnation_(incarnation),
       socket_(context.loop),
       timer_(context.loop),
-      hub_({},
-           [this](const ClientAccountId& id) -> std::optional<RateLimit> {
-             if (!context_.catalog) return std::nullopt;
-             const auto* account = context_.catalog->FindAccount(id);
-             if (account == nullptr || account->limit.per_second <= 0) {
-               return std::nullopt;
-             }
-             return RateLimit{Tokens(account->limit.per_second),
-                              Tokens(account->limit.burst)};
-           }),
-      selector_(context.settings.instance, {}) {}
+      grant_timer_(context.loop),
+      fleet_member_(
+          context.settings.instance, context.settings.zone,
+          context.granted_tokens,
+          [this](const ClientAccountId& id) -> std::optional<RateLimit> {
+            if (!context_.catalog) return std::nullopt;
+            const auto* account = context_.catalog->FindAccount(id);
+            if (account == nullptr || account->limit.per_second <= 0) {
+              return std::nullopt;
+            }
+            return RateLimit{Tokens(account->limit.per_second),
+                             Tokens(account->limit.burst)};
+          }) {}
 
 auto FleetNode::Start() -> Result<SocketAddress> {
   namespace ip = boost::asio::ip;
@@ -55,7 +72,7 @@
                 "use an address of this machine and a free port");
   }
   Receive();
-  ScheduleReport(kReportInterval);
+  ScheduleReport(fleet_member_.ReportInterval());
   return SocketAddress{address.host, socket_.local_endpoint().port()};
 }
 
@@ -66,14 +83,17 @@
     members_[member.id] = member;
     ids.push_back(member.id);
   }
-  // Larger instances come first as hubs and as holders of orders.
-  std::map<InstanceId, double> capacities;
-  for (const auto& member : members) capacities[member.id] = member.capacity;
-  const auto count = std::max<std::size_t>(ids.size(), 1);
-  hub_.SetRegisteredDaemons(static_cast<std::int64_t>(count));
-  context_.repeats.SetDaemonCount(static_cast<std::int64_t>(count));
+  std::vector<fleet::RegisteredDaemon> registered;
+  registered.reserve(members.size());
+  for (const auto& member : members) {
+    registered.push_back({member.id, member.zone, member.capacity});
+  }
+  fleet_member_.SetMembers(registered);
+  context_.repeats.SetDaemonCount(
+      static_cast<std::int64_t>(std::max<std::size_t>(ids.size(), 1)));
   context_.cold_gate.SetMembers(ids);
-  selector_.SetMembers(ids, capacities);
+  link_->set_upstream_wait(fleet_member_.HasZoneHubs() ? kRelayedUpstreamWait
+                                                       : kUpstreamWait);
 }
 
 auto FleetNode::Backed() const -> bool {
@@ -81,7 +101,14 @@
 }
 
 auto FleetNode::HasNews() const -> bool {
-  return MonotonicNow() - news_current_at_ < kNewsLifetime;
+  const auto lifetime =
+      HasZoneHub() ? Duration(kRelayedNewsLifetime) : Duration(kNewsLifetime);
+  return MonotonicNow() - news_current_at_ < lifetime;
+}
+
+auto FleetNode::HasZoneHub() const -> bool {
+  return fleet_member_.HasZoneHubs() &&
+         MonotonicNow() - zone_hub_seen_ < kZoneHubLifetime;
 }
 
 auto FleetNode::OnNewsOf(const fleet::FleetSummary& summary, Timestamp now)
@@ -116,45 +143,115 @@
     return;
   }
   const auto now = MonotonicNow();
-  std::visit(Overloaded{[&](const fleet::FleetReport& report) {
-                          Send(sender_, Answer(report, now));
-                        },
-                        [&](const fleet::FleetSummary& summary) {
-                          OnSummary(summary, now);
-                        }},
-             *message);
+  std::visit(
+      Overloaded{
+          [&](const fleet::FleetReport& report) { OnReport(report, now); },
+          [&](const fleet::FleetSummary& summary) { OnSummary(summary, now); }},
+      *message);
+}
+
+auto FleetNode::OnReport(const fleet::FleetReport& report, Timestamp now)
+    -> void {
+  Send(sender_, Answer(report, now));
+  PassGrants(now);
+  if (fleet_member_.HasUrgent()) ReportNow();
+  ScheduleGrants();
+}
+
+auto FleetNode::ScheduleGrants() -> void {
+  if (grants_scheduled_ || !fleet_member_.HasQueuedRequests()) return;
+  grants_scheduled_ = true;
+  grant_timer_.expires_after(kGrantInterval);
+  grant_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    grants_scheduled_ = false;
+    PassGrants(MonotonicNow());
+    ScheduleGrants();
+  });
 }
 
 auto FleetNode::Answer(const fleet::FleetReport& report, Timestamp now)
     -> fleet::FleetSummary {
-  auto summary = hub_.OnReport(report, now);
-  summary.from = context_.settings.instance;
+  auto summary = fleet_member_.OnReport(report, now);
+  if (summary.grants_only) return summary;
   summary.leader = leader_;
   summary.leader_fence = leader_fence_;
-  summary.holds_order_lease = leading_;
   summary.lease_revision = lease_revision_;
   summary.unloading = unloading_;
   summary.loaded = loaded_;
-  summary.store_positions = link_->positions();
+  if (leading_) summary.lease_holder_age = Duration::zero();
   summary.store_response_age = now - upstreams_read_at_;
+  if (summary.level == fleet::HubLevel::kZone) {
+    if (!leading_ && leader_seen_ != Timestamp{}) {
+      summary.lease_holder_age = now - leader_seen_;
+    }
+    summary.lease_revision = std::max(lease_revision_, hub_lease_revision_);
+    if (Backed()) {
+      summary.unloading.insert(summary.unloading.end(), hub_unloading_.begin(),
+                               hub_unloading_.end());
+      summary.loaded.insert(summary.loaded.end(), hub_loaded_.begin(),
+                            hub_loaded_.end());
+    }
+    summary.store_response_age =
+        now - std::max(upstreams_read_at_, news_current_at_);
+  }
   if (holds_back_) summary.store_response_age = kNewsLifetime;
+  summary.store_positions = link_->positions();
+  if (summary.level == fleet::HubLevel::kZone && Backed()) {
+    const auto count =
+        std::min(summary.store_positions.size(), hub_positions_.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      summary.store_positions[i] =
+          std::max(summary.store_positions[i], hub_positions_[i]);
+    }
+  }
   summary.changes = journal_.Since(report.upstream_position);
   return summary;
 }
 
 auto FleetNode::OnSummary(const fleet::FleetSummary& summary, Timestamp now)
     -> void {
-  selector_.OnAnswer(summary.from, now);
-  context_.hub_answered_at = now;
-  TakeGrants(summary, now);
-  if (summary.from != context_.settings.instance) {
-    backed_at_ = now;
-    link_->catch_up(summary.store_positions);
-    OnNewsOf(summary, now);
+  fleet_member_.OnSummary(summary, now);
+  PassGrants(now);
+  if (!summary.grants_only) {
+    context_.hub_answered_at = now;
+    if (summary.from != context_.settings.instance) {
+      backed_at_ = now;
+      const bool from_zone_hub = summary.level == fleet::HubLevel::kZone;
+      zone_hub_seen_ = from_zone_hub ? now : Timestamp{};
+      hub_positions_ = summary.store_positions;
+      link_->catch_up(summary.store_positions);
+      OnNewsOf(summary, now);
+    }
+    OnAnnouncements(summary, now);
+    OnLoads(summary);
+  }
+  if (!summary.grants.empty() || !summary.loaded.empty()) {
+    context_.RetryParked(now);
+  }
+}
+
+auto FleetNode::OnAnnouncements(const fleet::FleetSummary& summary,
+                                Timestamp now) -> void {
+  if (summary.lease_holder_age) {
+    leader_seen_ =
+        std::max<Timestamp>(leader_seen_, now - *summary.lease_holder_age);
+  }
+  if (summary.lease_revision > 0) {
+    hub_lease_revision_ = summary.lease_revision;
+    on_lease_announced_(summary.lease_revision);
   }
-  if (summary.holds_order_lease) leader_seen_ = now;
-  if (summary.lease_revision > 0) on_lease_announced_(summary.lease_revision);
   SetLeader(summary.leader, summary.leader_fence);
+  hub_unloading_ = summary.unloading;
+  hub_loaded_ = summary.loaded;
+  context_.unloading.clear();
+  for (const auto& model : summary.unloading) {
+    context_.unloading.insert({model.upstream, model.model});
+  }
+  for (const auto& loaded : summary.loaded) RecordLoaded(loaded);
+}
+
+auto FleetNode::OnLoads(const fleet::FleetSummary& summary) -> void {
   for (const auto& [id, upstream] : context_.upstreams.All()) {
     upstream->other_daemons_load = {};
   }
@@ -165,19 +262,11 @@
                                     static_cast<double>(use.tokens),
                                     static_cast<double>(use.prefill_tokens)};
   }
-  context_.unloading.clear();
-  for (const auto& model : summary.unloading) {
-    context_.unloading.insert({model.upstream, model.model});
-  }
-  for (const auto& loaded : summary.loaded) RecordLoaded(loaded);
   for (const auto& id : summary.unreachable) {
     if (const auto upstream = context_.upstreams.Find(id)) {
-      upstream->RecordReportedUnreachable(now);
+      upstream->RecordReportedUnreachable(MonotonicNow());
     }
   }
-  if (!summary.grants.empty() || !summary.loaded.empty()) {
-    context_.RetryParked(now);
-  }
 }
 
 // An engine's own entry shows a load only with its next sign of life.
@@ -196,10 +285,13 @@
   if (!loaded.adapter.Empty()) held->adapters.insert(loaded.adapter);
 }
 
-auto FleetNode::TakeGrants(const fleet::FleetSummary& summary, Timestamp now)
-    -> void {
-  for (const auto& grant : summary.grants) {
-    context_.granted_tokens.OnGrant(grant, now);
+auto FleetNode::PassGrants(Timestamp now) -> void {
+  for (const auto& [daemon, summary] : fleet_member_.TakeAvailableGrants(now)) {
+    if (daemon == context_.settings.instance) {
+      OnSummary(summary, now);
+    } else {
+      SendTo(daemon, summary);
+    }
   }
 }
 
@@ -218,11 +310,16 @@
                                          : kLeastInterval - since);
 }
 
-auto FleetNode::MakeReport(Timestamp now) -> fleet::FleetReport {
+auto FleetNode::MakeReport(bool urgent_only, Timestamp now)
+    -> fleet::FleetReport {
   fleet::FleetReport report;
   report.from = context_.settings.instance;
   report.incarnation = incarnation_;
   report.sequence = ++sequence_;
+  report.urgent_only = urgent_only;
+  report.missing_adapters = std::exchange(context_.missing_adapters, {});
+  for (const auto& exchange : context_.parked) exchange->StateNeed();
+  if (urgent_only) return report;
   for (const auto& [id, upstream] : context_.upstreams.All()) {
     if (upstream->RecentlyUnreachable(now)) report.unreachable.push_back(id);
     if (upstream->requests == 0) continue;
@@ -230,10 +327,7 @@
         {id, upstream->requests, upstream->tokens, upstream->prefill_tokens});
   }
   report.models = context_.demand.Rates(now);
-  report.missing_adapters = std::exchange(context_.missing_adapters, {});
-  for (const auto& exchange : context_.parked) exchange->StateNeed();
   report.upstream_position = journal_.Position();
-  report.token_requests = context_.granted_tokens.TakeTokenRequests(now);
   return report;
 }
 
@@ -241,34 +335,102 @@
   const auto now = MonotonicNow();
   report_soon_ = false;
   reported_at_ = now;
-  const auto report = MakeReport(now);
-  const auto hub = selector_.Choose(now);
-  if (hub != hub_chosen_) {
-    context_.log.Write(EventRank::kState, "hub_chosen")
-        .Add("hub", hub.Value())
-        .Add("before", hub_chosen_.Value())
-        .Add("leader", leader_.Value())
-        .AddMs("answer_age_ms", now - context_.hub_answered_at);
-    hub_chosen_ = hub;
+  const bool urgent_only =
+      fleet_member_.HasZoneHubs() && now + kReportSlack < periodic_report_due_;
+  const auto outgoing =
+      fleet_member_.PrepareReport(MakeReport(urgent_only, now), now);
+  if (!urgent_only) {
+    periodic_report_due_ = now + fleet_member_.ReportInterval();
+    LogHub(*outgoing, now);
+    LogRole(now);
+    SendProbes(now);
   }
-  const auto member = members_.find(hub);
-  const bool own = hub == context_.settings.instance;
-  if (!own && member != members_.end()) {
-    const auto& address = member->second.peers;
-    Send({boost::asio::ip::make_address(address.host), address.port}, report);
+  if (outgoing) SendReport(*outgoing, now);
+  context_.RetryParked(now);
+  ScheduleNextReport(outgoing && !outgoing->report.token_requests.empty(), now);
+}
+
+auto FleetNode::LogHub(const fleet::FleetMember::OutgoingReport& outgoing,
+                       Timestamp now) -> void {
+  if (outgoing.hub == hub_chosen_) return;
+  const bool zone = outgoing.report.level == fleet::HubLevel::kZone;
+  context_.log.Write(EventRank::kState, "hub_chosen")
+      .Add("hub", outgoing.hub.Value())
+      .Add("level", zone ? "zone" : "fleet")
+      .Add("before", hub_chosen_.Value())
+      .Add("leader", leader_.Value())
+      .AddMs("answer_age_ms", now - context_.hub_answered_at);
+  hub_chosen_ = outgoing.hub;
+}
+
+auto FleetNode::FleetHubDaemonCount(Timestamp now) -> std::int64_t {
+  fleet_member_.Hub().ExpireReports(now);
+  const auto count = fleet_member_.Hub().ReportingDaemonCount();
+  const bool own = fleet_member_.Hub().LastReport(context_.settings.instance) !=
+                   std::nullopt;
+  return std::max<std::int64_t>(count - (own ? 1 : 0), 0);
+}
+
+auto FleetNode::LogRole(Timestamp now) -> void {
+  const auto in_zone = ZoneHubDaemonCount(now);
+  const auto in_fleet = FleetHubDaemonCount(now);
+  if ((in_zone > 0) == is_zone_hub_ && (in_fleet > 0) == is_fleet_hub_) return;
+  is_zone_hub_ = in_zone > 0;
+  is_fleet_hub_ = in_fleet > 0;
+  context_.log.Write(EventRank::kState, "hub_role")
+      .Add("zone_hub_daemons", in_zone)
+      .Add("fleet_hub_daemons", in_fleet)
+      .Add("leader", leader_.Value());
+}
+
+auto FleetNode::SendProbes(Timestamp now) -> void {
+  for (const auto& [hub, level] : fleet_member_.TakeProbes(now)) {
+    fleet::FleetReport probe;
+    probe.from = context_.settings.instance;
+    probe.incarnation = incarnation_;
+    probe.sequence = ++sequence_;
+    probe.level = level;
+    probe.urgent_only = true;
+    SendTo(hub, probe);
   }
+}
+
+auto FleetNode::SendReport(const fleet::FleetMember::OutgoingReport& outgoing,
+                           Timestamp now) -> void {
+  const bool own = outgoing.hub == context_.settings.instance;
+  if (!own) SendTo(outgoing.hub, outgoing.report);
   // Without a hub that answers, this daemon serves itself from its own part of
   // the limits. The tokens it asked another hub for are lost if they come.
-  if (own || !selector_.Connected(now)) {
-    const auto summary = Answer(report, now);
-    if (own) {
-      OnSummary(summary, now);
-    } else {
-      TakeGrants(summary, now);
-    }
+  if (!own && fleet_member_.Connected(now)) return;
+  auto report = outgoing.report;
+  report.level = fleet::HubLevel::kFleet;
+  auto summary = Answer(report, now);
+  ScheduleGrants();
+  if (own) return OnSummary(summary, now);
+  // A refusal from its own share is not the state of the account.
+  for (const auto& grant : summary.grants) {
+    if (grant.tokens > 0) context_.granted_tokens.OnGrant(grant, now);
   }
-  context_.RetryParked(now);
-  ScheduleReport(kReportInterval);
+  PassGrants(now);
+}
+
+auto FleetNode::ScheduleNextReport(bool tokens_requested, Timestamp now)
+    -> void {
+  Duration delay =
+      std::max<Duration>(periodic_report_due_ - now, Duration::zero());
+  if (tokens_requested && fleet_member_.HasZoneHubs()) {
+    delay = std::min<Duration>(delay, kTokenRepeatInterval);
+  }
+  // A grant in this daemon's own answer may already have asked for a report.
+  if (!report_soon_) ScheduleReport(delay);
+}
+
+auto FleetNode::SendTo(const InstanceId& daemon,
+                       const fleet::FleetMessage& message) -> void {
+  const auto member = members_.find(daemon);
+  if (member == members_.end()) return;
+  const auto& address = member->second.peers;
+  Send({boost::asio::ip::make_address(address.host), address.port}, message);
 }
 
 auto FleetNode::Send(const boost::asio::ip::udp::endpoint& to,
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -30,7 +30,7 @@
     if (fence <= leader_fence_) return;
     leader_fence_ = fence;
     leader_ = leader;
-    selector_.SetLeader(leader);
+    fleet_member_.SetLeader(leader);
   }
   // Whether this daemon orders loads now.
   auto SetLeading(bool leading) -> void { leading_ = leading; }
@@ -60,6 +60,8 @@
   }
   // Whether another daemon, as the hub, tells how far it has read the store.
   auto Backed() const -> bool;
+  // Whether a zone hub, which watches the store, tells this daemon of changes.
+  auto HasZoneHub() const -> bool;
   // Whether the hub's list of upstreams is fresh, so that this daemon need not
   // read it from the store.
   auto HasNews() const -> bool;
@@ -74,7 +76,15 @@
   // Reports now instead of at the next interval.
   auto ReportNow() -> void;
 
-  auto Hub() -> fleet::FleetHub& { return hub_; }
+  auto Hub() -> fleet::FleetHub& { return fleet_member_.Hub(); }
+  // Daemons that report to this daemon as their zone hub, and those whose
+  // reports arrive here as the fleet hub, without itself.
+  auto ZoneHubDaemonCount(Timestamp now) -> std::int64_t {
+    return fleet_member_.ZoneHubDaemonCount(now);
+  }
+  auto FleetHubDaemonCount(Timestamp now) -> std::int64_t;
+  // Time that zone hubs add until an announcement has reached all daemons.
+  auto RelayDelay() const -> Duration { return fleet_member_.RelayDelay(); }
   auto Members() const -> const std::map<InstanceId, Member>& {
     return members_;
   }
@@ -86,27 +96,51 @@
   auto OnDatagram(std::size_t size) -> void;
   auto ScheduleReport(Duration delay) -> void;
   auto Report() -> void;
-  auto MakeReport(Timestamp now) -> fleet::FleetReport;
+  auto MakeReport(bool urgent_only, Timestamp now) -> fleet::FleetReport;
+  auto OnReport(const fleet::FleetReport& report, Timestamp now) -> void;
   auto Answer(const fleet::FleetReport& report, Timestamp now)
       -> fleet::FleetSummary;
+  // Sends the report to its hub, or answers it itself if there is none.
+  auto SendReport(const fleet::FleetMember::OutgoingReport& outgoing,
+                  Timestamp now) -> void;
+  auto SendProbes(Timestamp now) -> void;
+  // Passes on grants regularly while token requests wait in this fleet hub.
+  auto ScheduleGrants() -> void;
+  // Logs a change of the hub.
+  auto LogHub(const fleet::FleetMember::OutgoingReport& outgoing, Timestamp now)
+      -> void;
+  // Logs when this daemon begins or ceases to be a hub for others.
+  auto LogRole(Timestamp now) -> void;
+  auto ScheduleNextReport(bool tokens_requested, Timestamp now) -> void;
+  auto OnAnnouncements(const fleet::FleetSummary& summary, Timestamp now)
+      -> void;
+  auto OnLoads(const fleet::FleetSummary& summary) -> void;
   auto OnNewsOf(const fleet::FleetSummary& summary, Timestamp now) -> void;
   auto OnSummary(const fleet::FleetSummary& summary, Timestamp now) -> void;
-  auto TakeGrants(const fleet::FleetSummary& summary, Timestamp now) -> void;
+  // Passes on grants for which other daemons wait.
+  auto PassGrants(Timestamp now) -> void;
   auto RecordLoaded(const fleet::LoadedModel& loaded) -> void;
   auto Send(const boost::asio::ip::udp::endpoint& to,
             const fleet::FleetMessage& message) -> void;
+  auto SendTo(const InstanceId& daemon, const fleet::FleetMessage& message)
+      -> void;
 
   GatewayContext& context_;
   Incarnation incarnation_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer grant_timer_;
+  bool grants_scheduled_ = false;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, 65'536> input_{};
   std::map<InstanceId, Member> members_;
-  fleet::FleetHub hub_;
-  fleet::HubSelector selector_;
+  fleet::FleetMember fleet_member_;
   std::shared_ptr<ControlLink> link_;
   Timestamp backed_at_{};
+  // When a zone hub last answered.
+  Timestamp zone_hub_seen_{};
+  // Store positions in the last answer of a hub.
+  StorePositions hub_positions_;
   fleet::UpstreamChangeLog journal_;
   std::function<void(const fleet::UpstreamChanges&)> on_news_;
   std::function<void(Timestamp)> on_store_answered_;
@@ -117,12 +151,19 @@
   Timestamp news_current_at_{};
   std::vector<fleet::UnloadingModel> unloading_;
   std::vector<fleet::LoadedModel> loaded_;
+  // What the last hub announced, for daemons that report here.
+  std::vector<fleet::UnloadingModel> hub_unloading_;
+  std::vector<fleet::LoadedModel> hub_loaded_;
+  std::int64_t hub_lease_revision_ = 0;
   std::int64_t sequence_ = 0;
   Timestamp reported_at_{};
+  Timestamp periodic_report_due_{};
   Timestamp leader_seen_{};
   bool report_soon_ = false;
   // The hub of the last report.
   InstanceId hub_chosen_;
+  bool is_zone_hub_ = false;
+  bool is_fleet_hub_ = false;
   InstanceId leader_;
   std::int64_t leader_fence_ = 0;
   bool leading_ = false;
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -260,9 +260,12 @@
   if (draining_ || registered_ || now < registration_due_) return;
   registration_due_ = now + kRegistrationShown;
   const Member self{context_.settings.instance, context_.settings.peers,
-                    context_.settings.capacity, 0};
+                    context_.settings.capacity, 0, context_.settings.zone};
   link_->register_member(self, [this](const Result<void>& result) {
-    if (result) return;
+    if (result) {
+      registered_ = true;
+      return;
+    }
     registration_due_ = MonotonicNow() + kRegistrationRetry;
     context_.log.Write(EventRank::kState, "registration_failed")
         .Add("error", result.error().Text());
@@ -304,6 +307,10 @@
   metrics.Set(GatewayLevel::kOrderLeaseHeld, orders_.Leading() ? 1 : 0);
   metrics.Set(GatewayLevel::kStoreAnswerAge, age(lapsed_.LastResponseAt()));
   metrics.Set(GatewayLevel::kHubAnswerAge, age(context_.hub_answered_at));
+  metrics.Set(GatewayLevel::kZoneHubDaemons,
+              static_cast<double>(fleet_.ZoneHubDaemonCount(now)));
+  metrics.Set(GatewayLevel::kFleetHubDaemons,
+              static_cast<double>(fleet_.FleetHubDaemonCount(now)));
 }
 
 auto Gateway::Reload() -> void {
@@ -352,6 +359,7 @@
   }
   fleet_.SetHoldsBack(lapsed_.IsRetaining());
   link_->set_backed(fleet_.Backed());
+  link_->set_on_demand(fleet_.HasZoneHub());
   const bool follow = !fleet_.HasNews();
   if (follow != following_) {
     following_ = follow;
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -36,12 +36,12 @@
     {"dotterellug_gateway_bad_entries_total", "kind",
      "Objects in the store that cannot be used, by the kind of error."},
     {"dotterellug_gateway_store_calls_total", "call",
-     "Calls to the store, by method and result."},
+     "Calls to the store, by method, kind of object and result."},
     {"dotterellug_gateway_log_lines_dropped_total", "event",
      "Log lines that did not fit the bounds, by event."},
 }};
 
-const std::array<Name, 8> kLevels{{
+const std::array<Name, 10> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -56,6 +56,10 @@
      "Time since the store last answered this daemon."},
     {"dotterellug_gateway_hub_answer_age_seconds", "",
      "Time since a hub last answered this daemon."},
+    {"dotterellug_gateway_zone_hub_daemons", "",
+     "Daemons that report to this daemon as their zone hub."},
+    {"dotterellug_gateway_fleet_hub_daemons", "",
+     "Daemons whose reports arrive here as the fleet hub."},
 }};
 
 const std::array<Name, 4> kLatencies{{
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -31,6 +31,8 @@
   kOrderLeaseHeld,
   kStoreAnswerAge,
   kHubAnswerAge,
+  kZoneHubDaemons,
+  kFleetHubDaemons,
 };
 
 // Durations of requests, as histograms.
--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -1,6 +1,7 @@
 #include "daemon/gateway/order_desk.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 namespace dotterellug::gateway {
@@ -112,7 +113,8 @@
   }
   const auto wait = ContentionDelay(context_.settings.instance, capacities);
   // A process that has just started has not seen anybody yet.
-  return wait && now - std::max(fleet_.LeaderSeen(), started_at_) > *wait;
+  return wait && now - std::max(fleet_.LeaderSeen(), started_at_) >
+                     *wait + fleet_.RelayDelay();
 }
 
 auto OrderDesk::StepLease(Timestamp now) -> void {
@@ -275,7 +277,7 @@
 auto OrderDesk::Plan(Timestamp now) -> void {
   // Demand that only a few daemons report would move copies wrongly.
   const auto members = static_cast<std::int64_t>(fleet_.Members().size());
-  if (fleet_.Hub().ReportingDaemonCount(now) * 2 < members) return;
+  if (fleet_.Hub().ReportingDaemonCount() * 2 < members) return;
   for (const auto& missing : fleet_.Hub().TakeMissingAdapters()) {
     wanted_adapters_.OnRequest({missing.model, missing.adapter}, now);
   }
@@ -291,6 +293,9 @@
                            const Demand& demand, Timestamp now) -> void {
   const auto& engines = *pool.engine;
   CopyPlannerInput input;
+  std::unordered_map<ModelId, double> adapter_mb;
+  // Room for adapters that are still to come.
+  double reserved_adapter_mb = 0;
   for (const auto& model : engines.models) {
     const auto found = demand.find(model.id);
     CopyPlannerModel copy{model.id, model.weight_mb};
@@ -299,6 +304,10 @@
       copy.long_term_demand = found->second.long_term;
     }
     input.models.push_back(copy);
+    adapter_mb[model.id] = model.adapter_mb;
+    reserved_adapter_mb =
+        std::max(reserved_adapter_mb,
+                 model.adapter_mb * static_cast<double>(engines.adapter_slots));
   }
   for (const auto& [id, engine] : engines_) {
     const auto& record = engine.upstream->record;
@@ -315,18 +324,11 @@
     copy.capacity_mb = engines.weight_mb;
     for (const auto& [model, adapters] : engine.held) {
       if (engine.closing != model) copy.models.insert(model);
-      for (const auto& spec : engines.models) {
-        if (spec.id != model) continue;
-        copy.adapter_mb +=
-            spec.adapter_mb * static_cast<double>(adapters.size());
-      }
-    }
-    // Room for adapters that are still to come.
-    for (const auto& spec : engines.models) {
-      copy.adapter_mb = std::max(
-          copy.adapter_mb,
-          spec.adapter_mb * static_cast<double>(engines.adapter_slots));
+      const auto found = adapter_mb.find(model);
+      if (found == adapter_mb.end()) continue;
+      copy.adapter_mb += found->second * static_cast<double>(adapters.size());
     }
+    copy.adapter_mb = std::max(copy.adapter_mb, reserved_adapter_mb);
     if (engine.weight_order) {
       const auto& order = *engine.weight_order;
       if (order.load) {
@@ -363,7 +365,7 @@
   auto& engine = engines_[step.engine];
   if (step.kind == CopyOrderKind::kUnload) {
     engine.closing = step.model;
-    engine.closed_at = now + kClosingTime;
+    engine.closed_at = now + kClosingTime + fleet_.RelayDelay();
     return;
   }
   if (step.from_weight_store) store_credit_ -= 1;
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -13,11 +13,14 @@
 using serving::RequestKind;
 using serving::SelectionFailure;
 
-// A request waits so long for tokens of its account: a few round trips to the
-// hub.
-constexpr auto kTokenWait = std::chrono::milliseconds(120);
+// A request waits for tokens of its account for this part of its goal, but for
+// a few round trips to the hub at least. The hub refuses it at once if the
+// tokens come later.
+constexpr auto kLeastTokenWait = std::chrono::milliseconds(120);
+constexpr double kTokenWaitPart = 0.3;
 // The same shortly after the start, when this daemon has only its own small
-// part of the limits until it knows the others and their hub.
+// part of the limits until it knows the others and their hub, and while no hub
+// says anything about the account, because it has failed.
 constexpr auto kFirstTokenWait = std::chrono::milliseconds(900);
 constexpr auto kStartTime = std::chrono::seconds(2);
 // Part of the caller's patience for which a request waits for an upstream that
@@ -43,6 +46,10 @@
 // Answers up to this size are kept until they are complete, so that a broken
 // one can be asked for again.
 constexpr std::size_t kBufferedAnswer = 262'144;
+// An answer that is not passed on may have this many bytes and may take this
+// long; then its connection is closed and the request goes on.
+constexpr std::size_t kMaxDiscardedBytes = 65'536;
+constexpr auto kMaxDiscardTime = std::chrono::milliseconds(250);
 // Unsent bytes of a stream at which its upstream is read no further.
 constexpr std::size_t kStreamHighWater = 65'536;
 // An attempt is not made when less time is left than this.
@@ -106,6 +113,7 @@
 
 auto RequestExchange::Start() -> void {
   session_->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+  if (session_->ClientHasLeft()) return OnCallerGone();
   const auto now = MonotonicNow();
   if (context_.catalog) return Begin(now);
   // A process that has just started knows its configuration within a moment.
@@ -174,7 +182,7 @@
     return true;
   }
   const bool starting = now - context_.started_at < kStartTime;
-  const auto wait = context_.granted_tokens.ExhaustedFor(account_, now);
+  const auto wait = context_.granted_tokens.ExhaustedFor(account_, tokens, now);
   // What a daemon says of itself as its own hub is not the account's state.
   if (wait && !starting) {
     const auto rate = static_cast<double>(account->limit.per_second);
@@ -186,7 +194,10 @@
   if (!asked) {
     waits_for_ = "tokens";
     const auto longest =
-        starting ? Duration(kFirstTokenWait) : Duration(kTokenWait);
+        starting
+            ? Duration(kFirstTokenWait)
+            : std::max<Duration>(kLeastTokenWait,
+                                 Part(route_->latency_target, kTokenWaitPart));
     Park(Waiting::kTokens, std::min(now + longest, deadline_));
     context_.report_now();
   }
@@ -196,6 +207,7 @@
 auto RequestExchange::Park(Waiting reason, Timestamp until) -> void {
   const bool listed = waiting_ != Waiting::kNothing;
   if (reason != waiting_) trace_.Waits(request_.id, waits_for_, until);
+  if (reason != waiting_) parked_at_ = MonotonicNow();
   waiting_ = reason;
   waits_until_ = until;
   if (!listed) context_.parked.push_back(shared_from_this());
@@ -214,6 +226,13 @@
     if (SpendTokens(now)) {
       Dispatch(now);
     } else if (!done_ && now >= waits_until_) {
+      const auto longest =
+          std::min<Timestamp>(parked_at_ + kFirstTokenWait, deadline_);
+      if (now < longest &&
+          !context_.granted_tokens.AnsweredSince(account_, parked_at_)) {
+        waits_until_ = longest;
+        return true;
+      }
       Refuse(429, "over_limit", kReturnAfter);
     }
   } else {
@@ -226,7 +245,8 @@
   if (waiting_ != Waiting::kTokens) return;
   const auto* account = catalog_->FindAccount(account_);
   context_.granted_tokens.AddWaitingDemand(
-      account_, serving::RateLimitCharge(request_, account->limit));
+      account_, serving::RateLimitCharge(request_, account->limit),
+      std::max<Duration>(waits_until_ - MonotonicNow(), Duration::zero()));
 }
 
 auto RequestExchange::ChoosePool() -> const serving::ServicePool* {
@@ -371,6 +391,9 @@
     wake = std::min(wake,
                     attempt_->sent_at + route_->latency_target * kSilenceGoals);
   }
+  if (attempt_ && attempt_->discard) {
+    wake = std::min<Timestamp>(wake, MonotonicNow() + kMaxDiscardTime);
+  }
   timer_.expires_at(wake);
   timer_.async_wait(
       [self = shared_from_this()](boost::system::error_code error) {
@@ -390,6 +413,7 @@
     DropAttempt();
     return Refuse(may_have_run ? 504 : 503, "deadline", std::nullopt);
   }
+  if (attempt_ && attempt_->discard) return StopDiscarding();
   if (!attempt_ || attempt_->head_seen) return ArmTimer();
   const auto upstream = attempt_->upstream;
   if (MayRepeat(now)) {
@@ -421,7 +445,7 @@
   attempt.status = head.status;
   if (answer.not_run) {
     --ran_;
-    attempt.discard = true;
+    Discard();
     return HeadVerdict::kAccept;
   }
   if (head.status / 100 == 2 && !answer.has_receipt) {
@@ -432,7 +456,7 @@
   if (failed) {
     attempt.upstream->RecordFailure(now);
     if (MayRepeat(now)) {
-      attempt.discard = true;
+      Discard();
       return HeadVerdict::kAccept;
     }
     if (answering_) return HeadVerdict::kReject;
@@ -441,6 +465,29 @@
   return HeadVerdict::kAccept;
 }
 
+auto RequestExchange::Discard() -> void {
+  attempt_->discard = true;
+  ArmTimer();
+}
+
+auto RequestExchange::StopDiscarding() -> void {
+  context_.log.Write(EventRank::kFailure, "answer_without_end")
+      .Add("request", request_.id.Value())
+      .Add("upstream", attempt_->upstream->record.id.Value())
+      .Add("bytes", static_cast<std::int64_t>(attempt_->discarded_bytes));
+  attempt_->upstream->RecordFailure(MonotonicNow());
+  attempt_->connection->Cancel();
+  OnAnswerEnd();
+}
+
+auto RequestExchange::BeginAnswer(std::optional<std::uint64_t> length) -> void {
+  answering_ = true;
+  session_->OnDrained([self = shared_from_this()] {
+    if (self->attempt_) self->attempt_->connection->Resume();
+  });
+  session_->BeginStream(attempt_->status, attempt_->fields, length);
+}
+
 auto RequestExchange::AcceptAnswer(const eventhttp::ResponseHead& head)
     -> void {
   auto& attempt = *attempt_;
@@ -449,19 +496,23 @@
   const bool stream = Stream() && head.status / 100 == 2;
   const bool large = attempt.length && *attempt.length > kBufferedAnswer;
   if (answering_ || (!stream && !large)) return;
-  answering_ = true;
-  session_->OnDrained([self = shared_from_this()] {
-    if (self->attempt_) self->attempt_->connection->Resume();
-  });
-  session_->BeginStream(head.status, attempt.fields,
-                        stream ? std::nullopt : attempt.length);
+  BeginAnswer(stream ? std::nullopt : attempt.length);
 }
 
 auto RequestExchange::OnBody(std::string_view piece) -> void {
   auto& attempt = *attempt_;
-  if (attempt.discard) return;
+  if (attempt.discard) {
+    attempt.discarded_bytes += piece.size();
+    if (attempt.discarded_bytes > kMaxDiscardedBytes) StopDiscarding();
+    return;
+  }
   if (!answering_) {
     attempt.body += piece;
+    if (attempt.body.size() <= kBufferedAnswer) return;
+    // Without a length the answer may have no end, so it is not kept.
+    const auto body = std::move(attempt.body);
+    BeginAnswer(attempt.length);
+    session_->SendPiece(body);
     return;
   }
   if (!Stream()) {
@@ -478,6 +529,10 @@
       }
     }
     session_->SendPiece(whole);
+    if (events_.EventTooLarge()) {
+      attempt.connection->Cancel();
+      return OnBroken(ExchangeEnd::kProtocolError);
+    }
   }
   if (attempt_ && session_->UnsentBytes() > kStreamHighWater) {
     attempt_->connection->Pause();
@@ -597,6 +652,8 @@
 }
 
 auto RequestExchange::MayRepeat(Timestamp now) const -> bool {
+  // Another attempt cannot continue an answer that is no stream of events.
+  if (answering_ && !Stream()) return false;
   return Repeatable() && ran_ < route_->max_upstreams &&
          deadline_ - now > kLeastTime;
 }
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -47,6 +47,7 @@
     std::int64_t prefill_tokens = 0;
     // The answer is not passed on; another attempt follows when it has ended.
     bool discard = false;
+    std::size_t discarded_bytes = 0;
     eventhttp::HeaderFields fields;
     std::string body;
     std::optional<std::uint64_t> length;
@@ -69,6 +70,12 @@
 
   auto OnHead(eventhttp::ResponseHead& head) -> eventhttp::HeadVerdict;
   auto AcceptAnswer(const eventhttp::ResponseHead& head) -> void;
+  // Begins to pass the attempt's answer on before it is complete.
+  auto BeginAnswer(std::optional<std::uint64_t> length) -> void;
+  // Reads the attempt's answer without passing it on.
+  auto Discard() -> void;
+  // Ends an attempt whose discarded answer does not end.
+  auto StopDiscarding() -> void;
   auto OnBody(std::string_view piece) -> void;
   auto OnEnd(eventhttp::ExchangeEnd end) -> void;
   auto OnAnswerEnd() -> void;
@@ -110,6 +117,8 @@
   std::int64_t charged_ = 0;
 
   Waiting waiting_ = Waiting::kNothing;
+  // Since when it waits for the same thing.
+  Timestamp parked_at_{};
   Timestamp waits_until_{};
   const char* waits_for_ = "";
 
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -6,6 +6,9 @@
 // reports of others; it replies with the load from all other daemons and with
 // granted tokens.
 //
+// In a large fleet there are two levels of hubs: daemons report to a hub of
+// their availability zone, and the zone hubs report to the fleet hub.
+//
 // Any daemon can act as the hub. A hub grants only the fraction of a limit that
 // corresponds to the fraction of daemons reporting to it. Concurrent hubs and
 // isolated daemons therefore stay within the limit together, apart from a
@@ -17,7 +20,11 @@
 #include "fleet/changes/upstream_change_log.h"
 #include "fleet/demand/demand_meter.h"
 #include "fleet/grants/granted_tokens.h"
+#include "fleet/grants/token_queue.h"
 #include "fleet/hub/fleet_hub.h"
 #include "fleet/hub/hub_selector.h"
+#include "fleet/hub/report_aggregator.h"
+#include "fleet/hub/zone_hub.h"
+#include "fleet/member/fleet_member.h"
 #include "fleet/messages/fleet_codec.h"
 #include "fleet/messages/fleet_messages.h"
--- a/modules/fleet/grants/granted_tokens.h
+++ b/modules/fleet/grants/granted_tokens.h
@@ -39,24 +39,32 @@
       -> void;
   // Returns the tokens of a request that did not reach an upstream.
   auto Refund(const ClientAccountId& account, std::int64_t tokens) -> void;
-  // Adds `tokens` of a waiting request to the demand of the account. The demand
-  // is cleared by the next TakeTokenRequests.
-  auto AddWaitingDemand(const ClientAccountId& account, std::int64_t tokens)
-      -> void;
+  // Adds `tokens` of a request that waits for at most `patience` to the demand
+  // of the account. The request added first is served first, unless
+  // another one is smaller by TokenQueue::kOvertakingFactor. The demand is
+  // cleared by the next TakeTokenRequests.
+  auto AddWaitingDemand(const ClientAccountId& account, std::int64_t tokens,
+                        Duration patience) -> void;
   // Returns the tokens to request from the hub now and clears the demand of
-  // waiting requests. The target balance of an account covers the reserve and
-  // the demand of its waiting requests. An account below its target is included
-  // if requests are waiting for tokens or if it lacks more than a third of the
-  // target.
+  // waiting requests. A reserve is requested only if it covers a whole request;
+  // a smaller one would only keep the tokens from other daemons. The target
+  // balance of an account covers the reserve and the demand of its waiting
+  // requests. An account below its target is included if requests are waiting
+  // for tokens or if it lacks more than a third of the target.
   auto TakeTokenRequests(Timestamp now) -> std::vector<TokenRequest>;
   // Adds granted tokens to the balance and records whether the hub has reported
   // the account as exhausted.
   auto OnGrant(const TokenGrant& grant, Timestamp now) -> void;
-  // Returns the remaining time for which the account is considered exhausted,
-  // or nothing if it is not. A grant of 0 tokens marks it as exhausted until
-  // the time at which the hub expects tokens, capped at 250 ms.
-  auto ExhaustedFor(const ClientAccountId& account, Timestamp now) const
-      -> std::optional<Duration>;
+  // Returns the remaining time for which the account is considered exhausted
+  // for a request of `tokens`, or nothing if it is not. A refusal by the hub
+  // marks it as exhausted until the time at which the hub expects tokens,
+  // capped at 250 ms, except for requests that would overtake the refused one.
+  auto ExhaustedFor(const ClientAccountId& account, std::int64_t tokens,
+                    Timestamp now) const -> std::optional<Duration>;
+  // Whether a hub has granted, queued or refused tokens of the account since
+  // `time`. If not, it is unknown whether the account has tokens left.
+  auto AnsweredSince(const ClientAccountId& account, Timestamp time) const
+      -> bool;
   // Tokens available to the account; negative after retries that exceeded the
   // balance.
   auto Balance(const ClientAccountId& account) const -> std::int64_t;
@@ -64,13 +72,22 @@
  private:
   struct Account {
     std::int64_t balance = 0;
-    // Demand of waiting requests since the last TakeTokenRequests.
+    // Demand of waiting requests since the last TakeTokenRequests: in total, of
+    // the first one, and the longest patience.
     std::int64_t waiting_tokens = 0;
+    std::int64_t first_waiting_tokens = 0;
+    Duration patience{0};
+    // Moving average of the tokens spent at once.
+    double mean_spent = 0;
     // Exponentially decayed spending rate as of rate_updated_at.
     double spent_per_second = 0;
     Timestamp rate_updated_at{};
     Timestamp last_used_at{};
+    // Minimum of the last token request, and of the last one that was refused.
+    std::int64_t requested_minimum = 0;
+    std::int64_t refused_minimum = 0;
     Timestamp exhausted_until{};
+    Timestamp answered_at{};
   };
 
   auto DecaySpendRate(Account& account, Timestamp now) const -> void;
--- a/modules/fleet/hub/fleet_hub.cc
+++ b/modules/fleet/hub/fleet_hub.cc
@@ -3,66 +3,60 @@
 #include <algorithm>
 #include <utility>
 
-#include "fleet/demand/demand_meter.h"
-
 namespace dotterellug::fleet {
 namespace {
 
-// Reports are deleted this long after they were received. They count as current
-// only for report_ttl; after that, the demand in them decays.
-constexpr auto kReportRetention = std::chrono::seconds(60);
-// Maximum number of missing adapters kept until they are collected; further
-// ones are dropped.
-constexpr std::size_t kMaxMissingAdapters = 64;
 // Number of daemons that must report an upstream as unreachable before it is
 // reported to others. A single daemon may have a faulty link.
 constexpr std::int64_t kMinUnreachableReports = 2;
+// Upper bound of the estimated time until tokens become available.
+constexpr double kMaxEstimateSeconds = 60;
 
-}  // namespace
-
-auto FleetHub::ReportingDaemonCount(Timestamp now) const -> std::int64_t {
-  return std::count_if(
-      reporters_.begin(), reporters_.end(), [&](const auto& pair) {
-        return now - pair.second.received_at <= options_.report_ttl;
-      });
+// Tokens by which a request is ordered: those of a waiting request, or a whole
+// reserve.
+auto NeededTokens(const TokenRequest& request) -> std::int64_t {
+  return request.minimum > 0 ? request.minimum : request.tokens;
 }
 
+}  // namespace
+
 auto FleetHub::OnReport(const FleetReport& report, Timestamp now)
     -> FleetSummary {
   FleetSummary summary;
   summary.sequence = report.sequence;
-  if (now - last_report_at_ > options_.report_ttl) ResetBuckets(now);
-  last_report_at_ = now;
-  const auto found = reporters_.find(report.from);
-  const auto* previous = found == reporters_.end() ? nullptr : &found->second;
-  const bool restarted =
-      previous != nullptr && previous->report.incarnation != report.incarnation;
-  const bool outdated = previous != nullptr && !restarted &&
-                        report.sequence <= previous->report.sequence;
-  if (!outdated) {
-    for (const auto& adapter : report.missing_adapters) {
-      if (missing_.size() < kMaxMissingAdapters) missing_.push_back(adapter);
-    }
-    if (previous != nullptr) UpdateTotals(previous->report, -1);
-    auto stored = report;
-    stored.token_requests.clear();
-    UpdateTotals(stored, 1);
-    reporters_[report.from] = Reporter{now, true, std::move(stored)};
+  summary.grants_only = report.urgent_only;
+  if (now - last_report_at_ > options_.report_ttl) {
+    ResetBuckets(now);
+    reports_since_ = now;
   }
+  last_report_at_ = now;
+  const bool recorded = reports_.Record(report, now);
   UpdateShare(now);
   // A report with an old sequence number is a duplicate or was reordered. Its
   // token requests have already been answered or are made again by a newer
   // report.
-  if (!outdated) {
+  if (recorded) {
     for (const auto& request : report.token_requests) {
-      summary.grants.push_back(Grant(request, now));
+      if (const auto grant = Grant(report.from, request, now)) {
+        summary.grants.push_back(*grant);
+      }
     }
   }
+  if (report.urgent_only) return summary;
+  AddOtherLoads(report, summary);
+  for (const auto& [id, count] : reports_.Unreachable()) {
+    if (count >= kMinUnreachableReports) summary.unreachable.push_back(id);
+  }
+  return summary;
+}
+
+auto FleetHub::AddOtherLoads(const FleetReport& report,
+                             FleetSummary& summary) const -> void {
   std::map<UpstreamId, ReportedLoad> own_load;
-  for (const auto& load : reporters_[report.from].report.upstreams) {
+  for (const auto& load : reports_.LoadsFrom(report.from)) {
     own_load[load.upstream] = load;
   }
-  for (const auto& [upstream, total] : totals_) {
+  for (const auto& [upstream, total] : reports_.Loads()) {
     auto load = total;
     const auto found = own_load.find(upstream);
     if (found != own_load.end()) {
@@ -72,37 +66,18 @@
     }
     if (load.requests > 0) summary.other_daemons_loads.push_back(load);
   }
-  for (const auto& [id, count] : unreachable_) {
-    if (count >= kMinUnreachableReports) summary.unreachable.push_back(id);
-  }
-  return summary;
 }
 
 auto FleetHub::RequestsInFlight(const UpstreamId& upstream) const
     -> std::int64_t {
-  const auto found = totals_.find(upstream);
-  return found == totals_.end() ? 0 : found->second.requests;
+  const auto found = reports_.Loads().find(upstream);
+  return found == reports_.Loads().end() ? 0 : found->second.requests;
 }
 
 auto FleetHub::Unreachable(const UpstreamId& upstream) const -> bool {
-  const auto found = unreachable_.find(upstream);
-  return found != unreachable_.end() && found->second >= kMinUnreachableReports;
-}
-
-auto FleetHub::UpdateTotals(const FleetReport& report, int sign) -> void {
-  for (const auto& load : report.upstreams) {
-    auto& total = totals_[load.upstream];
-    total.upstream = load.upstream;
-    total.requests += sign * load.requests;
-    total.tokens += sign * load.tokens;
-    total.prefill_tokens += sign * load.prefill_tokens;
-    if (total.requests == 0) totals_.erase(load.upstream);
-  }
-  for (const auto& id : report.unreachable) {
-    auto& count = unreachable_[id];
-    count += sign;
-    if (count == 0) unreachable_.erase(id);
-  }
+  const auto found = reports_.Unreachable().find(upstream);
+  return found != reports_.Unreachable().end() &&
+         found->second >= kMinUnreachableReports;
 }
 
 auto FleetHub::ResetBuckets(Timestamp now) -> void {
@@ -114,18 +89,7 @@
 }
 
 auto FleetHub::UpdateShare(Timestamp now) -> void {
-  for (auto reporter = reporters_.begin(); reporter != reporters_.end();) {
-    auto& [received_at, in_totals, report] = reporter->second;
-    if (in_totals && now - received_at > options_.report_ttl) {
-      UpdateTotals(report, -1);
-      report.upstreams.clear();
-      report.unreachable.clear();
-      in_totals = false;
-    }
-    const bool discard = now - received_at > kReportRetention;
-    reporter = discard ? reporters_.erase(reporter) : std::next(reporter);
-  }
-  const auto reporting = ReportingDaemonCount(now);
+  const auto reporting = reports_.DaemonCount();
   const auto total_daemons =
       std::max({registered_daemons_, reporting, std::int64_t{1}});
   const PartsPerMillion share(kWhole.Value() * reporting / total_daemons);
@@ -169,58 +133,68 @@
   if (const auto limit = find_limit_(account)) Bucket(account, *limit, now);
 }
 
-auto FleetHub::Grant(const TokenRequest& request, Timestamp now) -> TokenGrant {
-  TokenGrant grant{request.account, 0, Duration(0)};
-  const auto limit = find_limit_(request.account);
+auto FleetHub::Take(const ClientAccountId& account, std::int64_t tokens,
+                    std::int64_t minimum, Timestamp now) -> std::int64_t {
+  const auto limit = find_limit_(account);
+  if (!limit) return tokens;
+  auto& bucket = Bucket(account, *limit, now);
+  const auto available =
+      std::max<std::int64_t>(bucket.Available(now).Value(), 0) /
+      kMicroTokensPerToken;
+  const auto amount = available >= tokens ? tokens : minimum;
+  if (amount > available) return 0;
+  return bucket.TakeExactly(Tokens(amount), now).Value();
+}
+
+auto FleetHub::Grant(const InstanceId& daemon, const TokenRequest& request,
+                     Timestamp now) -> std::optional<TokenGrant> {
+  const auto& account = request.account;
+  TokenGrant grant{account};
+  const auto limit = find_limit_(account);
   if (!limit) {
     grant.tokens = request.tokens;
     return grant;
   }
-  auto& bucket = Bucket(request.account, *limit, now);
-  const auto available =
-      std::max<std::int64_t>(bucket.Available(now).Value(), 0) /
-      kMicroTokensPerToken;
-  const auto amount = std::min(request.tokens, available);
-  grant.tokens = bucket.TakeExactly(Tokens(amount), now).Value();
-  const auto shortfall = request.tokens - grant.tokens;
+  const auto ahead =
+      queue_.TokensAhead(account, daemon, NeededTokens(request), now);
+  if (ahead == 0) {
+    grant.tokens = Take(account, request.tokens, request.minimum, now);
+    if (grant.tokens > 0) {
+      queue_.Remove(account, daemon);
+      return grant;
+    }
+  }
+  if (request.minimum == 0) return std::nullopt;
+  const auto available = Bucket(account, *limit, now).Available(now).Value() /
+                         kMicroTokensPerToken;
   const auto rate = static_cast<double>(limit->per_second.Value()) *
                     static_cast<double>(share_.Value()) /
                     static_cast<double>(kWhole.Value());
-  if (shortfall > 0) {
-    grant.time_until_available = FromSeconds(
-        std::min(60.0, static_cast<double>(shortfall) / std::max(rate, 1.0)));
+  const auto shortfall =
+      static_cast<double>(ahead + request.minimum - available);
+  grant.time_until_available = FromSeconds(
+      std::clamp(shortfall / std::max(rate, 1.0), 0.0, kMaxEstimateSeconds));
+  grant.queued = grant.time_until_available <= request.patience ||
+                 now - reports_since_ < options_.takeover_time;
+  if (grant.queued) {
+    queue_.Put(account, {daemon, request.tokens, request.minimum,
+                         now + request.patience});
+  } else {
+    queue_.Remove(account, daemon);
   }
   return grant;
 }
 
-auto FleetHub::Demand(Timestamp now) const -> std::map<ModelId, TotalDemand> {
-  std::map<ModelId, TotalDemand> demand;
-  for (const auto& [id, reporter] : reporters_) {
-    const Duration age = now - reporter.received_at;
-    // The demand of a daemon that has terminated or reports to another hub
-    // decays.
-    const auto fraction =
-        age <= options_.report_ttl ? 1.0 : DemandMeter::RecentRateFraction(age);
-    for (const auto& model : reporter.report.models) {
-      auto& total = demand[model.model];
-      total.recent += fraction * static_cast<double>(model.tokens_per_second);
-      total.long_term +=
-          fraction *
-          static_cast<double>(model.sustained_millitokens_per_second) / 1000;
-    }
-  }
-  return demand;
-}
-
-auto FleetHub::TakeMissingAdapters() -> std::vector<MissingAdapter> {
-  return std::exchange(missing_, {});
-}
-
-auto FleetHub::LastReport(const InstanceId& daemon) const
-    -> std::optional<Timestamp> {
-  const auto found = reporters_.find(daemon);
-  if (found == reporters_.end()) return std::nullopt;
-  return found->second.received_at;
+auto FleetHub::TakeQueuedGrants(Timestamp now)
+    -> std::map<InstanceId, std::vector<TokenGrant>> {
+  return queue_.Serve(
+      [&](const ClientAccountId& account,
+          const TokenQueue::Entry& entry) -> std::optional<TokenGrant> {
+        const auto tokens = Take(account, entry.tokens, entry.minimum, now);
+        if (tokens == 0) return std::nullopt;
+        return TokenGrant{account, tokens};
+      },
+      now);
 }
 
 }  // namespace dotterellug::fleet
--- a/modules/fleet/hub/fleet_hub.h
+++ b/modules/fleet/hub/fleet_hub.h
@@ -8,6 +8,8 @@
 
 #include "budget/budget.h"
 #include "core/core.h"
+#include "fleet/grants/token_queue.h"
+#include "fleet/hub/report_aggregator.h"
 #include "fleet/messages/fleet_messages.h"
 
 namespace dotterellug::fleet {
@@ -21,26 +23,34 @@
   // Fraction of an account's burst that hubs grant. The remainder is headroom
   // for tokens that daemons keep in reserve and for tokens granted by two hubs
   // while daemons change their hub.
-  double burst_fraction = 0.6;
+  double burst_fraction = 0.85;
+  // For this long after the first report, a hub queues requests that it could
+  // not meet in time, instead of refusing them. Its share grows while daemons
+  // change to it, so its estimate of the time is too long.
+  Duration takeover_time = std::chrono::seconds(1);
   // Fraction of the burst that is available at once when daemons start to
   // report, in proportion to the increase of this hub's share. Without it, a
   // new hub would refuse requests while its buckets fill.
   double initial_fraction = 0.2;
 };
 
-// The hub role of a daemon: aggregates the reports of the daemons that chose it
-// as their hub and grants tokens of client accounts' rate limits. Its token
-// buckets refill at the fraction of each limit that equals the fraction of all
-// registered daemons reporting here. Not thread-safe.
+// The fleet hub role of a daemon: adds up the reports of the daemons or zone
+// hubs that chose it as their hub and grants tokens of client accounts' rate
+// limits. Its token buckets refill at the fraction of each limit that equals
+// the fraction of all registered daemons whose reports it receives, directly or
+// through zone hubs. Not thread-safe.
 class FleetHub {
  public:
   // Returns the rate limit of a client account, or nothing if it has none.
   using LimitLookup =
       std::function<std::optional<RateLimit>(const ClientAccountId&)>;
+  using TotalDemand = ReportAggregator::TotalDemand;
 
   // Starts without reports, assuming one registered daemon.
   FleetHub(FleetHubOptions options, LimitLookup find_limit)
-      : options_(options), find_limit_(std::move(find_limit)) {}
+      : options_(options),
+        find_limit_(std::move(find_limit)),
+        reports_(options.report_ttl) {}
 
   // Sets the number of daemons registered in the store, whether or not they
   // report here. Defaults to 1.
@@ -55,48 +65,59 @@
   // outdated report is not recorded and gets no grants.
   auto OnReport(const FleetReport& report, Timestamp now) -> FleetSummary;
 
-  // Number of daemons that report here.
-  auto ReportingDaemonCount(Timestamp now) const -> std::int64_t;
-  // Demand for a model at all daemons that report here, in tokens per second.
-  struct TotalDemand {
-    double recent = 0;
-    double long_term = 0;
-  };
-  // Total demand by model. The demand of a daemon that has stopped reporting
-  // here decays.
-  auto Demand(Timestamp now) const -> std::map<ModelId, TotalDemand>;
-  // Requests in flight at an upstream from all daemons that report here.
+  // Grants for queued token requests whose tokens have become available, by the
+  // daemon that requested them.
+  auto TakeQueuedGrants(Timestamp now)
+      -> std::map<InstanceId, std::vector<TokenGrant>>;
+  auto HasQueuedRequests() const -> bool { return !queue_.Empty(); }
+
+  // Expires reports that are older than the TTL.
+  auto ExpireReports(Timestamp now) -> void { reports_.Expire(now); }
+  // Number of daemons whose reports arrive here, as of the last report.
+  auto ReportingDaemonCount() const -> std::int64_t {
+    return reports_.DaemonCount();
+  }
+  // Total demand by model at these daemons.
+  auto Demand(Timestamp now) const -> std::map<ModelId, TotalDemand> {
+    return reports_.Demand(now);
+  }
+  // Requests in flight at an upstream from these daemons.
   auto RequestsInFlight(const UpstreamId& upstream) const -> std::int64_t;
-  // Whether at least two of the reporting daemons recently failed to reach the
+  // Whether at least two of these daemons recently failed to reach the
   // upstream.
   auto Unreachable(const UpstreamId& upstream) const -> bool;
   // Returns the adapters reported as missing since the last call. At most 64
   // are kept between calls.
-  auto TakeMissingAdapters() -> std::vector<MissingAdapter>;
-  // Time of the last report of a daemon; nothing if there was none in the last
-  // minute.
-  auto LastReport(const InstanceId& daemon) const -> std::optional<Timestamp>;
+  auto TakeMissingAdapters() -> std::vector<MissingAdapter> {
+    return reports_.TakeMissingAdapters();
+  }
+  // Time of the last report that includes a daemon; nothing if there was none
+  // in the last minute.
+  auto LastReport(const InstanceId& daemon) const -> std::optional<Timestamp> {
+    return reports_.LastReport(daemon);
+  }
 
  private:
-  // The last report of a daemon.
-  struct Reporter {
-    Timestamp received_at;
-    // Whether the totals include this report.
-    bool in_totals = true;
-    FleetReport report;
-  };
-  // Adds the report to the totals if `sign` is 1, or subtracts it if -1.
-  auto UpdateTotals(const FleetReport& report, int sign) -> void;
   // Sets this hub's share of the limits and the tokens of all buckets to 0
   // after a period without reports, during which another hub may have granted
   // the tokens that have accrued here.
   auto ResetBuckets(Timestamp now) -> void;
-  // Expires reports and adapts the share of all buckets to the number of
-  // reporting daemons.
+  // Adapts the share of all buckets to the number of reporting daemons.
   auto UpdateShare(Timestamp now) -> void;
-  // Grants up to the requested tokens from the bucket of the account. An
-  // account without a limit is granted all of them.
-  auto Grant(const TokenRequest& request, Timestamp now) -> TokenGrant;
+  // Adds the load of all daemons except that in the report itself.
+  auto AddOtherLoads(const FleetReport& report, FleetSummary& summary) const
+      -> void;
+  // Grants the requested tokens from the bucket of the account, or at least the
+  // minimum of the request. If there are fewer, queues the request if it can
+  // wait for them; otherwise refuses it. An account without a limit is granted
+  // all tokens. Returns nothing if only a reserve was requested and none is
+  // available.
+  auto Grant(const InstanceId& daemon, const TokenRequest& request,
+             Timestamp now) -> std::optional<TokenGrant>;
+  // Takes `tokens`, or else `minimum` tokens, from the bucket of the account;
+  // returns 0 if there are fewer.
+  auto Take(const ClientAccountId& account, std::int64_t tokens,
+            std::int64_t minimum, Timestamp now) -> std::int64_t;
   // Tokens that become available in a bucket when its share grows from
   // `previous` to the current share.
   auto InitialTokens(const TokenBucket& bucket, PartsPerMillion previous) const
@@ -111,14 +132,11 @@
   // This hub's share of each limit.
   PartsPerMillion share_;
   Timestamp last_report_at_{};
-  std::map<InstanceId, Reporter> reporters_;
-  // Load at each upstream from all daemons that report here.
-  std::map<UpstreamId, ReportedLoad> totals_;
-  // Number of reporting daemons that recently failed to reach each upstream.
-  std::map<UpstreamId, std::int64_t> unreachable_;
+  // Time of the first report since there were none for the report TTL.
+  Timestamp reports_since_{};
+  ReportAggregator reports_;
   std::map<ClientAccountId, TokenBucket> buckets_;
-  // Missing adapters reported since the last TakeMissingAdapters.
-  std::vector<MissingAdapter> missing_;
+  TokenQueue queue_;
 };
 
 }  // namespace dotterellug::fleet
--- a/modules/fleet/hub/hub_selector.cc
+++ b/modules/fleet/hub/hub_selector.cc
@@ -1,43 +1,52 @@
 #include "fleet/hub/hub_selector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dotterellug::fleet {
-namespace {
-
-// Rendezvous hashing key; must be the same on all daemons.
-constexpr std::string_view kRankingKey = "fleet-hub";
-
-}  // namespace
-
 auto HubSelector::SetMembers(const std::vector<InstanceId>& members,
                              const std::map<InstanceId, double>& capacities)
     -> void {
-  const auto capacity = [&](const InstanceId& id) {
-    const auto found = capacities.find(id);
-    return found == capacities.end() ? 0.0 : found->second;
+  struct Ranked {
+    double capacity = 0;
+    std::uint64_t weight = 0;
+    const InstanceId* id = nullptr;
   };
-  ranking_ = members;
-  std::sort(ranking_.begin(), ranking_.end(),
-            [&](const auto& a, const auto& b) {
-              if (capacity(a) != capacity(b)) return capacity(a) > capacity(b);
-              const auto weight_a = RendezvousWeight(kRankingKey, a.Value());
-              const auto weight_b = RendezvousWeight(kRankingKey, b.Value());
-              return weight_a != weight_b ? weight_a > weight_b : a < b;
-            });
+  std::vector<Ranked> ranked;
+  ranked.reserve(members.size());
+  for (const auto& id : members) {
+    const auto found = capacities.find(id);
+    ranked.push_back({found == capacities.end() ? 0.0 : found->second,
+                      RendezvousWeight(ranking_key_, id.Value()), &id});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+    if (a.capacity != b.capacity) return a.capacity > b.capacity;
+    return a.weight != b.weight ? a.weight > b.weight : *a.id < *b.id;
+  });
+  std::vector<InstanceId> ranking;
+  ranking.reserve(ranked.size());
+  for (const auto& member : ranked) ranking.push_back(*member.id);
+  ranking_ = std::move(ranking);
+}
+
+auto HubSelector::OnTimeout(Candidate& candidate, Timestamp now) -> void {
+  candidate.unresponsive = true;
+  candidate.unanswered_since.reset();
+  candidate.probed_at.reset();
+  candidate.timed_out_at = now;
+  candidate.retry_delay =
+      std::clamp<Duration>(2 * candidate.retry_delay, options_.retry_delay,
+                           options_.max_retry_delay);
+  candidate.probe_due = now + candidate.retry_delay;
 }
 
 auto HubSelector::ShouldSkip(const InstanceId& hub, Timestamp now) -> bool {
   auto& candidate = candidates_[hub];
   if (candidate.unanswered_since &&
       now - *candidate.unanswered_since > options_.answer_timeout) {
-    candidate.unanswered_since.reset();
-    candidate.unresponsive_since = now;
+    OnTimeout(candidate, now);
   }
-  if (!candidate.unresponsive_since) return false;
-  if (now - *candidate.unresponsive_since < options_.retry_delay) return true;
-  candidate.unresponsive_since.reset();
-  return false;
+  return candidate.unresponsive;
 }
 
 auto HubSelector::Choose(Timestamp now) -> InstanceId {
@@ -55,10 +64,29 @@
   return self_;
 }
 
+auto HubSelector::TakeProbe(Timestamp now) -> std::optional<InstanceId> {
+  for (auto& [hub, candidate] : candidates_) {
+    if (!candidate.unresponsive) continue;
+    if (candidate.probed_at &&
+        now - *candidate.probed_at > options_.answer_timeout) {
+      OnTimeout(candidate, now);
+    }
+    if (candidate.probed_at || now < candidate.probe_due) continue;
+    candidate.probed_at = now;
+    return hub;
+  }
+  return std::nullopt;
+}
+
 auto HubSelector::OnAnswer(const InstanceId& hub, Timestamp now) -> void {
   auto& candidate = candidates_[hub];
+  if (candidate.unresponsive && !candidate.probed_at) return;
+  candidate.unresponsive = false;
+  candidate.probed_at.reset();
   candidate.unanswered_since.reset();
-  candidate.unresponsive_since.reset();
+  if (now - candidate.timed_out_at > options_.recovery_time) {
+    candidate.retry_delay = Duration::zero();
+  }
   last_answer_at_ = now;
 }
 
@@ -66,4 +94,13 @@
   return last_answer_at_ && now - *last_answer_at_ <= options_.answer_timeout;
 }
 
+auto HubSelector::UnansweredFor(const InstanceId& hub, Timestamp now) const
+    -> Duration {
+  const auto found = candidates_.find(hub);
+  if (found == candidates_.end() || !found->second.unanswered_since) {
+    return Duration::zero();
+  }
+  return now - *found->second.unanswered_since;
+}
+
 }  // namespace dotterellug::fleet
--- /dev/null
+++ b/modules/fleet/member/fleet_member.cc
@@ -0,0 +1,155 @@
+#include "fleet/member/fleet_member.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterellug::fleet {
+namespace {
+
+// Reports that may be lost in a row before a zone hub considers a daemon gone,
+// or a daemon considers its zone hub unresponsive.
+constexpr int kReportsPerTtl = 4;
+constexpr double kReportsPerAnswerTimeout = 2.5;
+
+}  // namespace
+
+FleetMember::FleetMember(InstanceId self, AvailabilityZoneId zone,
+                         GrantedTokens& granted_tokens,
+                         FleetHub::LimitLookup find_limit,
+                         FleetMemberOptions options)
+    : self_(std::move(self)),
+      zone_(std::move(zone)),
+      granted_tokens_(granted_tokens),
+      options_(options),
+      fleet_hub_({}, std::move(find_limit)),
+      zone_hub_(FleetHubOptions{}.report_ttl, granted_tokens),
+      fleet_selector_(self_, {}),
+      zone_selector_(self_, {}, "zone-hub"),
+      zone_interval_(options.report_interval) {}
+
+auto FleetMember::SetMembers(const std::vector<RegisteredDaemon>& members)
+    -> void {
+  std::vector<InstanceId> fleet;
+  std::vector<InstanceId> zone;
+  std::map<InstanceId, double> capacities;
+  for (const auto& member : members) {
+    capacities[member.id] = member.capacity;
+    fleet.push_back(member.id);
+    if (member.zone == zone_) zone.push_back(member.id);
+  }
+  fleet_hub_.SetRegisteredDaemons(
+      std::max<std::int64_t>(static_cast<std::int64_t>(fleet.size()), 1));
+  fleet_selector_.SetMembers(fleet, capacities);
+  zone_hubs_ = fleet.size() > options_.max_single_level_daemons;
+  const auto in_zone = static_cast<std::int64_t>(zone.size());
+  zone_selector_.SetMembers(zone, capacities);
+  zone_interval_ = std::clamp<Duration>(
+      options_.report_interval * in_zone /
+          std::max<std::int64_t>(options_.daemons_at_shortest_interval, 1),
+      options_.report_interval, options_.max_report_interval);
+  const auto base = HubSelectorOptions{}.answer_timeout;
+  zone_selector_.SetAnswerTimeout(std::max<Duration>(
+      base, FromSeconds(ToSeconds(zone_interval_) * kReportsPerAnswerTimeout)));
+  zone_hub_.SetReportTtl(std::max<Duration>(FleetHubOptions{}.report_ttl,
+                                            kReportsPerTtl * zone_interval_));
+}
+
+auto FleetMember::ChooseHub(bool urgent_only, Timestamp now) -> InstanceId {
+  level_ = HubLevel::kFleet;
+  if (zone_hubs_) {
+    const auto hub = zone_selector_.Choose(now);
+    const bool late =
+        zone_selector_.UnansweredFor(hub, now) > options_.zone_hub_patience;
+    if (hub != self_) {
+      level_ = HubLevel::kZone;
+      if (!urgent_only || !late) return hub;
+      // The fleet hub is asked directly, so that callers need not wait until
+      // the zone hub counts as unresponsive.
+      level_ = HubLevel::kFleet;
+    }
+  }
+  return fleet_selector_.Choose(now);
+}
+
+auto FleetMember::PrepareReport(FleetReport report, Timestamp now)
+    -> std::optional<OutgoingReport> {
+  if (!report.urgent_only) zone_hub_.AddReports(report, now);
+  zone_hub_.AddUrgent(report, now);
+  report.token_requests = granted_tokens_.TakeTokenRequests(now);
+  if (report.urgent_only && report.token_requests.empty() &&
+      report.missing_adapters.empty()) {
+    return std::nullopt;
+  }
+  OutgoingReport outgoing;
+  outgoing.hub = ChooseHub(report.urgent_only, now);
+  report.level = level_;
+  outgoing.report = std::move(report);
+  return outgoing;
+}
+
+auto FleetMember::TakeProbes(Timestamp now)
+    -> std::vector<std::pair<InstanceId, HubLevel>> {
+  std::vector<std::pair<InstanceId, HubLevel>> probes;
+  while (const auto hub = zone_selector_.TakeProbe(now)) {
+    probes.emplace_back(*hub, HubLevel::kZone);
+  }
+  while (const auto hub = fleet_selector_.TakeProbe(now)) {
+    probes.emplace_back(*hub, HubLevel::kFleet);
+  }
+  return probes;
+}
+
+auto FleetMember::OnReport(const FleetReport& report, Timestamp now)
+    -> FleetSummary {
+  auto summary = report.level == HubLevel::kZone
+                     ? zone_hub_.OnReport(report, now)
+                     : fleet_hub_.OnReport(report, now);
+  summary.from = self_;
+  summary.level = report.level;
+  return summary;
+}
+
+auto FleetMember::OnSummary(const FleetSummary& summary, Timestamp now)
+    -> void {
+  auto& selector =
+      summary.level == HubLevel::kZone ? zone_selector_ : fleet_selector_;
+  selector.OnAnswer(summary.from, now);
+  for (const auto& grant : summary.grants) granted_tokens_.OnGrant(grant, now);
+  if (!summary.grants_only) {
+    zone_hub_.SetOtherZonesLoads(summary.other_daemons_loads);
+  }
+}
+
+auto FleetMember::TakeAvailableGrants(Timestamp now)
+    -> std::vector<std::pair<InstanceId, FleetSummary>> {
+  std::vector<std::pair<InstanceId, FleetSummary>> summaries;
+  const auto add = [&](HubLevel level, auto grants_by_daemon) {
+    for (auto& [daemon, grants] : grants_by_daemon) {
+      FleetSummary summary;
+      summary.from = self_;
+      summary.level = level;
+      summary.grants_only = true;
+      summary.grants = std::move(grants);
+      summaries.emplace_back(daemon, std::move(summary));
+    }
+  };
+  add(HubLevel::kFleet, fleet_hub_.TakeQueuedGrants(now));
+  add(HubLevel::kZone, zone_hub_.TakeAvailableGrants(now));
+  return summaries;
+}
+
+auto FleetMember::Connected(Timestamp now) const -> bool {
+  return level_ == HubLevel::kZone ? zone_selector_.Connected(now)
+                                   : fleet_selector_.Connected(now);
+}
+
+auto FleetMember::ReportInterval() const -> Duration {
+  return level_ == HubLevel::kZone ? zone_interval_ : options_.report_interval;
+}
+
+auto FleetMember::RelayDelay() const -> Duration {
+  return zone_hubs_ ? options_.report_interval + zone_interval_
+                    : Duration::zero();
+}
+
+}  // namespace dotterellug::fleet
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -11,9 +11,23 @@
 using Json = nlohmann::json;
 
 // Message type and layout version, the first element of each message. Assign a
-// new value when the layout changes.
+// new value when the layout changes in a way that a daemon of the previous
+// version cannot read. Elements appended at the end may be absent and are
+// ignored by older versions, so that daemons can be replaced one by one.
 constexpr int kReportTag = 3;
 constexpr int kSummaryTag = 4;
+// Number of elements in the first version of each layout.
+constexpr std::size_t kFirstReportSize = 10;
+constexpr std::size_t kFirstSummarySize = 15;
+
+// Encodes an age that is not known.
+constexpr std::int64_t kUnknownAge = -1;
+
+auto DecodeLevel(const Json& value) -> HubLevel {
+  return value.get<int>() == static_cast<int>(HubLevel::kZone)
+             ? HubLevel::kZone
+             : HubLevel::kFleet;
+}
 
 // Encodes the loads as a flat array with four elements per upstream.
 auto EncodeLoads(const std::vector<ReportedLoad>& loads) -> Json {
@@ -124,23 +138,30 @@
     missing_adapters.push_back(adapter.adapter.Value());
   }
   auto token_requests = Json::array();
+  auto request_waits = Json::array();
   for (const auto& request : report.token_requests) {
     token_requests.push_back(request.account.Value());
     token_requests.push_back(request.tokens);
+    request_waits.push_back(request.minimum);
+    request_waits.push_back(request.patience.count());
   }
-  return Json::array({kReportTag, report.from.Value(),
-                      report.incarnation.Value(), report.sequence,
-                      EncodeLoads(report.upstreams), std::move(models),
-                      std::move(missing_adapters), std::move(token_requests),
-                      report.upstream_position, EncodeIds(report.unreachable)});
+  return Json::array(
+      {kReportTag, report.from.Value(), report.incarnation.Value(),
+       report.sequence, EncodeLoads(report.upstreams), std::move(models),
+       std::move(missing_adapters), std::move(token_requests),
+       report.upstream_position, EncodeIds(report.unreachable),
+       static_cast<int>(report.level), report.urgent_only,
+       EncodeIds(report.included_daemons), std::move(request_waits)});
 }
 
 auto Encode(const FleetSummary& summary) -> Json {
   auto grants = Json::array();
+  auto queued = Json::array();
   for (const auto& grant : summary.grants) {
     grants.push_back(grant.account.Value());
     grants.push_back(grant.tokens);
     grants.push_back(grant.time_until_available.count());
+    queued.push_back(grant.queued);
   }
   auto unloading = Json::array();
   for (const auto& model : summary.unloading) {
@@ -155,11 +176,16 @@
   }
   return Json::array(
       {kSummaryTag, summary.from.Value(), summary.sequence,
-       summary.leader.Value(), summary.leader_fence, summary.holds_order_lease,
+       summary.leader.Value(), summary.leader_fence,
+       summary.lease_holder_age == Duration::zero(),
        EncodeLoads(summary.other_daemons_loads), std::move(grants),
        std::move(unloading), std::move(loaded), summary.store_positions,
        summary.store_response_age.count(), EncodeChanges(summary.changes),
-       summary.lease_revision, EncodeIds(summary.unreachable)});
+       summary.lease_revision, EncodeIds(summary.unreachable),
+       static_cast<int>(summary.level), summary.grants_only,
+       summary.lease_holder_age ? summary.lease_holder_age->count()
+                                : kUnknownAge,
+       std::move(queued)});
 }
 
 auto DecodeReport(const Json& list) -> FleetReport {
@@ -188,6 +214,17 @@
   }
   report.upstream_position = list.at(8).get<std::int64_t>();
   report.unreachable = DecodeIds<std::vector<UpstreamId>>(list.at(9));
+  if (list.size() == kFirstReportSize) return report;
+  report.level = DecodeLevel(list.at(10));
+  report.urgent_only = list.at(11).get<bool>();
+  report.included_daemons = DecodeIds<std::vector<InstanceId>>(list.at(12));
+  const auto& request_waits = list.at(13);
+  for (std::size_t i = 0; i < report.token_requests.size(); ++i) {
+    auto& request = report.token_requests[i];
+    request.minimum = request_waits.at(2 * i).get<std::int64_t>();
+    request.patience =
+        Duration(request_waits.at(2 * i + 1).get<std::int64_t>());
+  }
   return report;
 }
 
@@ -197,7 +234,7 @@
   summary.sequence = list.at(2).get<std::int64_t>();
   summary.leader = InstanceId(list.at(3).get<std::string>());
   summary.leader_fence = list.at(4).get<std::int64_t>();
-  summary.holds_order_lease = list.at(5).get<bool>();
+  if (list.at(5).get<bool>()) summary.lease_holder_age = Duration::zero();
   summary.other_daemons_loads = DecodeLoads(list.at(6));
   const auto& grants = list.at(7);
   for (std::size_t i = 0; i + 2 < grants.size(); i += 3) {
@@ -221,6 +258,17 @@
   summary.changes = DecodeChanges(list.at(12));
   summary.lease_revision = list.at(13).get<std::int64_t>();
   summary.unreachable = DecodeIds<std::vector<UpstreamId>>(list.at(14));
+  if (list.size() == kFirstSummarySize) return summary;
+  summary.level = DecodeLevel(list.at(15));
+  summary.grants_only = list.at(16).get<bool>();
+  const auto lease_holder_age = list.at(17).get<std::int64_t>();
+  if (lease_holder_age != kUnknownAge) {
+    summary.lease_holder_age = Duration(lease_holder_age);
+  }
+  const auto& queued = list.at(18);
+  for (std::size_t i = 0; i < summary.grants.size(); ++i) {
+    summary.grants[i].queued = queued.at(i).get<bool>();
+  }
   return summary;
 }
 
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -37,6 +38,11 @@
 struct TokenRequest {
   ClientAccountId account;
   std::int64_t tokens = 0;
+  // Fewest tokens with which a waiting request can proceed; 0 if none waits. A
+  // smaller grant would be of no use to anybody.
+  std::int64_t minimum = 0;
+  // How long the requests can still wait.
+  Duration patience{0};
 };
 
 // An adapter that callers requested and that no usable upstream has loaded.
@@ -45,6 +51,11 @@
   AdapterId adapter;
 };
 
+// The levels of hubs. In a large fleet, daemons report to a hub of their
+// availability zone, and the zone hubs report to the fleet hub. In a small
+// fleet, all daemons report to the fleet hub.
+enum class HubLevel : std::uint8_t { kZone, kFleet };
+
 // A daemon's periodic report to its hub. The load of upstreams is sent in full
 // each time, so the next report compensates for a lost one. A token request is
 // sent only once; if it is lost, the sender computes its shortfall anew for a
@@ -54,13 +65,22 @@
   Incarnation incarnation;
   // Increases with each report of this incarnation.
   std::int64_t sequence = 0;
+  // Level of the hub to which this report is sent.
+  HubLevel level = HubLevel::kFleet;
+  // A report between two periodic ones that contains token requests and missing
+  // adapters only. The state in the last periodic report remains valid.
+  bool urgent_only = false;
+  // Daemons whose reports to the sender are included in this one, without the
+  // sender.
+  std::vector<InstanceId> included_daemons;
   std::vector<ReportedLoad> upstreams;
   std::vector<ModelDemand> models;
   std::vector<MissingAdapter> missing_adapters;
   std::vector<TokenRequest> token_requests;
   // Store revision up to which the sender has applied upstream changes.
   std::int64_t upstream_position = 0;
-  // Upstreams that the sender recently failed to reach.
+  // Upstreams that the sender recently failed to reach. An upstream is listed
+  // once for each daemon included in the report that failed to reach it.
   std::vector<UpstreamId> unreachable;
 };
 
@@ -71,6 +91,9 @@
   // Estimated time until the tokens not granted become available; 0 if all were
   // granted.
   Duration time_until_available{0};
+  // Whether the hub sends the tokens when they become available, because the
+  // requests can wait for so long.
+  bool queued = false;
 };
 
 // A model that an engine is unloading or about to unload. No further requests
@@ -91,22 +114,31 @@
 // The hub's answer to one report.
 struct FleetSummary {
   InstanceId from;
+  // Level at which the hub answers.
+  HubLevel level = HubLevel::kFleet;
+  // Answers an urgent report, or delivers tokens that became available later.
+  // The fields other than `from`, `level`, `sequence` and
+  // `grants` are not filled in.
+  bool grants_only = false;
   // Sequence number of the report that is answered.
   std::int64_t sequence = 0;
   // The leader (holder of the order lease) with the highest fencing number
   // known to the hub. All daemons that can reach it use it as their hub.
   InstanceId leader;
   std::int64_t leader_fence = 0;
-  // Whether the hub itself currently holds the order lease.
-  bool holds_order_lease = false;
-  // Store revision of the hub's last write of the order lease; 0 if the hub
-  // does not hold it.
+  // Time since a holder of the order lease was last heard from, by this hub or
+  // by the hub to which it reports. 0 if this hub holds the lease; nothing if
+  // no holder has been heard from.
+  std::optional<Duration> lease_holder_age;
+  // Store revision of the holder's last write of the order lease, as announced
+  // by the holder; 0 if unknown.
   std::int64_t lease_revision = 0;
-  // Load from all daemons that report to the hub, without the receiver's own.
+  // Load from all daemons known to the hub, without the load in the receiver's
+  // report.
   std::vector<ReportedLoad> other_daemons_loads;
   std::vector<TokenGrant> grants;
   // Store revisions up to which the hub has read changes, by kind of object:
-  // configuration, upstreams, zones taken out of service.
+  // configuration, upstreams, zones taken out of service, registered daemons.
   std::vector<std::int64_t> store_positions;
   // Time since the store last answered a request of the hub for upstreams.
   Duration store_response_age{0};
