--- a/modules/fleet/hub/report_aggregator.cc
+++ b/modules/fleet/hub/report_aggregator.cc
@@ -127,9 +127,9 @@
 
 auto ReportAggregator::LoadsFrom(const InstanceId& daemon) const
     -> const std::vector<ReportedLoad>& {
-  static const std::vector<ReportedLoad> kNone;
+  static const std::vector<ReportedLoad> none;
   const auto found = reporters_.find(daemon);
-  if (found == reporters_.end() || !found->second.in_totals) return kNone;
+  if (found == reporters_.end() || !found->second.in_totals) return none;
   return found->second.report.upstreams;
 }
 
--- a/modules/placement/copies/adapter_planner.cc
+++ b/modules/placement/copies/adapter_planner.cc
@@ -86,9 +86,9 @@
   // Engines on which the model is loaded, in the order of the input.
   auto EnginesWith(const ModelId& model) const
       -> const std::vector<std::size_t>& {
-    static const std::vector<std::size_t> kNone;
+    static const std::vector<std::size_t> none;
     const auto found = engines_with_model_.find(model);
-    return found == engines_with_model_.end() ? kNone : found->second;
+    return found == engines_with_model_.end() ? none : found->second;
   }
 
   auto CanLoad(std::size_t index, const Adapter& adapter) const -> bool {
--- a/modules/serving/stream/event_splitter.cc
+++ b/modules/serving/stream/event_splitter.cc
@@ -20,7 +20,8 @@
   const auto searched =
       pending_.size() < 2 ? std::size_t{0} : pending_.size() - 2;
   pending_ += bytes;
-  const auto unsearched = std::string_view(pending_).substr(searched);
+  const std::string_view pending = pending_;
+  const auto unsearched = pending.substr(searched);
   auto end = unsearched.rfind("\n\n");
   auto length = std::size_t{2};
   const auto carriage = unsearched.rfind("\n\r\n");
