--- a/modules/fleet/benchmarks/hub_time.cc
+++ b/modules/fleet/benchmarks/hub_time.cc
@@ -47,7 +47,8 @@
                      });
   Random random(1);
   std::vector<std::string> datagrams;
-  datagrams.reserve(static_cast<std::size_t>(reports + daemons));
+  datagrams.reserve(static_cast<std::size_t>(reports) +
+                    static_cast<std::size_t>(daemons));
   for (int i = 0; i < reports + daemons; ++i) {
     datagrams.push_back(EncodeFleetMessage(
         MakeReport(i % daemons, 1 + i / daemons, upstreams, level, random)));
