Log requests that end because their process stops

Callers saw their connection closed without an answer at the end of a planned stop, and the daemon's log had no line about the end of such a request: a request that waited in the daemon, one that waited at an upstream and one that was never taken up looked the same.

Change: the gateway knows its open requests and writes request_ended with cause process_stopped for each that has no final answer when the process ends. sent, waited_ms and first_ms tell the cases apart; dotterellugctl explain says it in a sentence.

What callers see is unchanged.

--- a/client/explain/request_story.cc
+++ b/client/explain/request_story.cc
@@ -406,6 +406,7 @@
     if (cause == "not_configured") {
       return "refused: the daemon knew no configuration yet" + OwnEvidence();
     }
+    if (cause == "process_stopped") return ProcessStopped(took);
     if (cause == "malformed") {
       return "refused: the request cannot be understood";
     }
@@ -441,6 +442,20 @@
            UpstreamEvidence(last_upstream_);
   }
 
+  auto ProcessStopped(const std::string& took) const -> std::string {
+    auto text = "its daemon was stopped " + took + " after it arrived";
+    if (last_upstream_.empty()) {
+      text += ", while it waited in the daemon";
+      const auto* waits = LastOwn("request_waits", 0);
+      if (waits != nullptr) text += " (" + waits->Text("reason") + ")";
+    } else if (ended_->Number("first_ms") > 0) {
+      text += ", within the answer of upstream " + last_upstream_;
+    } else {
+      text += ", before upstream " + last_upstream_ + " answered";
+    }
+    return text + RepeatEvidence() + UpstreamEvidence(last_upstream_);
+  }
+
   // A request without an end in the logs.
   auto Unfinished() const -> std::string {
     const auto& own = *own_.front();
--- a/client/tests/explain_tests.cc
+++ b/client/tests/explain_tests.cc
@@ -128,6 +128,29 @@
   EXPECT_TRUE(Contains(log.Cause(), "d1 was stopped and its grace period"));
 }
 
+// Guards against requests whose fate at a planned stop cannot be told: waiting
+// in the daemon, at an upstream, or within an answer.
+TEST(RequestStoryTest, TellsWhereARequestWasWhenItsDaemonStopped) {
+  const std::string ended =
+      R"("request":"r1","outcome":"failed","cause":"process_stopped",)"
+      R"("took_ms":6000)";
+  LogText waiting;
+  waiting
+      .Add("d1", 1000, "request_waits",
+           R"("request":"r1","reason":"model_not_loaded")")
+      .Add("d1", 7000, "request_ended", ended);
+  EXPECT_TRUE(Contains(waiting.Cause(), "waited in the daemon"));
+  EXPECT_TRUE(Contains(waiting.Cause(), "model_not_loaded"));
+  LogText sent;
+  sent.Add("d1", 1000, "request_sent", kSent)
+      .Add("d1", 7000, "request_ended", ended);
+  EXPECT_TRUE(Contains(sent.Cause(), "before upstream u1 answered"));
+  LogText cut;
+  cut.Add("d1", 1000, "request_sent", kSent)
+      .Add("d1", 7000, "request_ended", ended + R"(,"first_ms":40)");
+  EXPECT_TRUE(Contains(cut.Cause(), "within the answer of upstream u1"));
+}
+
 TEST(RequestStoryTest, NamesAFrozenDaemon) {
   LogText log;
   log.Add("d1", 1000, "request_sent", kSent)
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -297,7 +297,7 @@
     return last == Timestamp{} ? -1 : ToSeconds(now - last);
   };
   metrics.Set(GatewayLevel::kOpenRequests,
-              static_cast<double>(context_.open_requests));
+              static_cast<double>(context_.open_requests.size()));
   metrics.Set(GatewayLevel::kWaitingRequests,
               static_cast<double>(context_.parked.size()));
   metrics.Set(GatewayLevel::kUpstreams,
@@ -382,7 +382,8 @@
   callers_.BeginDrain();
   orders_.Stop();
   context_.log.Write(EventRank::kState, "stopping")
-      .Add("open_requests", context_.open_requests);
+      .Add("open_requests",
+           static_cast<std::int64_t>(context_.open_requests.size()));
 }
 
 auto Gateway::FinishDrain() -> void {
@@ -391,8 +392,10 @@
   if (age < std::min<Duration>(kStopAccepting, longest)) return;
   callers_.StopAccepting();
   if (callers_.BusySessions() > 0 && age < longest) return;
+  context_.LogUnansweredRequests();
   context_.log.Write(EventRank::kState, "stopped")
-      .Add("open_requests", context_.open_requests)
+      .Add("open_requests",
+           static_cast<std::int64_t>(context_.open_requests.size()))
       .AddMs("took_ms", age);
   context_.log.Flush(MonotonicNow());
   context_.loop.stop();
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -53,4 +53,8 @@
   parked = std::move(still);
 }
 
+auto GatewayContext::LogUnansweredRequests() -> void {
+  for (auto* exchange : open_requests) exchange->LogProcessStopped();
+}
+
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,8 @@
 
   // Lets every parked request try to go on; those that still wait stay parked.
   auto RetryParked(Timestamp now) -> void;
+  // Logs each request that has no final answer, because the process ends.
+  auto LogUnansweredRequests() -> void;
 
   boost::asio::io_context& loop;
   GatewaySettings settings;
@@ -56,7 +59,8 @@
   std::vector<std::shared_ptr<RequestExchange>> parked;
   // Reports to the hub at once, because a request waits for its answer.
   std::function<void()> report_now;
-  std::int64_t open_requests = 0;
+  // Every request from its arrival until nothing refers to it any more.
+  std::unordered_set<RequestExchange*> open_requests;
   Timestamp started_at;
   // When a hub last told the load of other daemons; zero before the first time.
   Timestamp hub_answered_at{};
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -106,10 +106,10 @@
       arrival_(http_.received_at),
       trace_(context, arrival_),
       timer_(context.loop) {
-  ++context_.open_requests;
+  context_.open_requests.insert(this);
 }
 
-RequestExchange::~RequestExchange() { --context_.open_requests; }
+RequestExchange::~RequestExchange() { context_.open_requests.erase(this); }
 
 auto RequestExchange::Start() -> void {
   session_->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
@@ -694,6 +694,15 @@
   timer_.cancel();
   session_->OnGone(nullptr);
   session_->OnDrained(nullptr);
+  LogEnd(outcome, cause, status);
+}
+
+auto RequestExchange::LogProcessStopped() -> void {
+  if (!done_) LogEnd("failed", "process_stopped", 0);
+}
+
+auto RequestExchange::LogEnd(const char* outcome, const char* cause, int status)
+    -> void {
   RequestEnd end{request_};
   end.route = route_;
   end.account = account_;
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -29,6 +29,8 @@
   auto Retry(Timestamp now) -> bool;
   // Adds the tokens that it waits for to what this daemon asks its hub for.
   auto StateNeed() const -> void;
+  // Logs that the process ends before the request has a final answer.
+  auto LogProcessStopped() -> void;
 
  private:
   // Why the request waits.
@@ -95,6 +97,7 @@
   auto Refuse(int status, const char* cause,
               std::optional<Duration> retry_after) -> void;
   auto Finish(const char* outcome, const char* cause, int status) -> void;
+  auto LogEnd(const char* outcome, const char* cause, int status) -> void;
   auto Repeatable() const -> bool;
   auto FirstEventPatience() const -> Duration;
   auto Stream() const -> bool {
