Answer every open request before a planned stop ends the process

Cause: a deadline of the stop that nobody tells the caller about. After the grace period less 0.4 s the gateway ended its event loop; requests that waited for a model (up to 7.2 s for a goal of 3 s) or whose upstream had not answered were dropped with their connections.

Change: 0.25 s before that, each request whose answer has not begun gets its final answer: 503 with Retry-After if it has not run, else 502. Streams in progress go on until the end.

--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -22,6 +22,8 @@
 constexpr auto kStopAccepting = std::chrono::milliseconds(2600);
 // Time kept at the end of the grace period for leaving in order.
 constexpr auto kStopReserve = std::chrono::milliseconds(400);
+// Before that, time to send the final answers to requests that are still open.
+constexpr auto kFinalAnswerTime = std::chrono::milliseconds(250);
 // A pause of the event loop, or a change of the time of day, that is worth a
 // log line: longer than a few ticks.
 constexpr auto kStall = std::chrono::milliseconds(400);
@@ -391,8 +393,10 @@
   const auto longest = context_.settings.bounds.stop_grace - kStopReserve;
   if (age < std::min<Duration>(kStopAccepting, longest)) return;
   callers_.StopAccepting();
+  // Repeated until the end, for requests that are read meanwhile.
+  if (age >= longest - kFinalAnswerTime) context_.AnswerOpenRequests();
   if (callers_.BusySessions() > 0 && age < longest) return;
-  context_.LogUnansweredRequests();
+  context_.LogBrokenRequests();
   context_.log.Write(EventRank::kState, "stopped")
       .Add("open_requests",
            static_cast<std::int64_t>(context_.open_requests.size()))
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -31,8 +31,11 @@
 
   // Lets every parked request try to go on; those that still wait stay parked.
   auto RetryParked(Timestamp now) -> void;
-  // Logs each request that has no final answer, because the process ends.
-  auto LogUnansweredRequests() -> void;
+  // Gives each request whose answer has not begun its final answer, because
+  // the process is about to end.
+  auto AnswerOpenRequests() -> void;
+  // Logs each request whose answer the end of the process breaks off.
+  auto LogBrokenRequests() -> void;
 
   boost::asio::io_context& loop;
   GatewaySettings settings;
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -35,6 +35,9 @@
 constexpr int kPatienceGaps = 8;
 // When a caller whose request found no upstream is asked to come back.
 constexpr auto kReturnAfter = std::chrono::milliseconds(1000);
+// When a caller is asked to come back whose daemon stops: another daemon can
+// take its request at once.
+constexpr auto kReturnToAnotherDaemon = std::chrono::milliseconds(0);
 // A request that arrives before the configuration waits so long for it.
 constexpr auto kConfigurationWait = std::chrono::milliseconds(900);
 // Before the configuration is known.
@@ -697,6 +700,13 @@
   LogEnd(outcome, cause, status);
 }
 
+auto RequestExchange::AnswerBeforeStop() -> void {
+  if (done_ || answering_) return;
+  DropAttempt();
+  if (ran_ > 0) return Refuse(502, "process_stopped", std::nullopt);
+  Refuse(503, "process_stopped", kReturnToAnotherDaemon);
+}
+
 auto RequestExchange::LogProcessStopped() -> void {
   if (!done_) LogEnd("failed", "process_stopped", 0);
 }
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -29,7 +29,10 @@
   auto Retry(Timestamp now) -> bool;
   // Adds the tokens that it waits for to what this daemon asks its hub for.
   auto StateNeed() const -> void;
-  // Logs that the process ends before the request has a final answer.
+  // Gives the request its final answer unless the answer has begun: the process
+  // is about to end.
+  auto AnswerBeforeStop() -> void;
+  // Logs that the process ends before the answer does.
   auto LogProcessStopped() -> void;
 
  private:
