Refuse at once what a stopping daemon has no time to serve

What callers saw: a request that waited for a model in a stopping daemon was held until the process ended, although from some moment on it could not be served there any more; a long stream that arrived after the stop signal was begun and cut.

Cause: waits and new attempts were bounded by the caller's time only, not by the end of the process.

Change: completed requests teach each daemon how long requests of a route take for the tokens they may generate. Once the daemon is being stopped, a request that would probably not be complete before the final answers are given is refused with 503 and Retry-After 0, when it arrives or as soon as waiting has made it so; it has not run, and another daemon can take it at once. Before the first observation the route's latency target stands for the time.

--- a/client/explain/request_story.cc
+++ b/client/explain/request_story.cc
@@ -407,6 +407,11 @@
       return "refused: the daemon knew no configuration yet" + OwnEvidence();
     }
     if (cause == "process_stopped") return ProcessStopped(took);
+    if (cause == "process_stopping") {
+      return "refused after " + took +
+             ": its daemon was being stopped and had too little time left for "
+             "it";
+    }
     if (cause == "malformed") {
       return "refused: the request cannot be understood";
     }
@@ -448,7 +453,7 @@
       text += ", while it waited in the daemon";
       const auto* waits = LastOwn("request_waits", 0);
       if (waits != nullptr) text += " (" + waits->Text("reason") + ")";
-    } else if (ended_->Number("first_ms") > 0) {
+    } else if (ended_->Number("status") == 0) {
       text += ", within the answer of upstream " + last_upstream_;
     } else {
       text += ", before upstream " + last_upstream_ + " answered";
--- a/client/tests/explain_tests.cc
+++ b/client/tests/explain_tests.cc
@@ -133,21 +133,21 @@
 TEST(RequestStoryTest, TellsWhereARequestWasWhenItsDaemonStopped) {
   const std::string ended =
       R"("request":"r1","outcome":"failed","cause":"process_stopped",)"
-      R"("took_ms":6000)";
+      R"("took_ms":6000,"status":)";
   LogText waiting;
   waiting
       .Add("d1", 1000, "request_waits",
            R"("request":"r1","reason":"model_not_loaded")")
-      .Add("d1", 7000, "request_ended", ended);
+      .Add("d1", 7000, "request_ended", ended + "503");
   EXPECT_TRUE(Contains(waiting.Cause(), "waited in the daemon"));
   EXPECT_TRUE(Contains(waiting.Cause(), "model_not_loaded"));
   LogText sent;
   sent.Add("d1", 1000, "request_sent", kSent)
-      .Add("d1", 7000, "request_ended", ended);
+      .Add("d1", 7000, "request_ended", ended + "502");
   EXPECT_TRUE(Contains(sent.Cause(), "before upstream u1 answered"));
   LogText cut;
   cut.Add("d1", 1000, "request_sent", kSent)
-      .Add("d1", 7000, "request_ended", ended + R"(,"first_ms":40)");
+      .Add("d1", 7000, "request_ended", ended + "0");
   EXPECT_TRUE(Contains(cut.Cause(), "within the answer of upstream u1"));
 }
 
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -381,6 +381,8 @@
   if (draining_) return;
   draining_ = true;
   drain_started_ = MonotonicNow();
+  context_.final_answers_at =
+      drain_started_ + LongestDrain() - kFinalAnswerTime;
   callers_.BeginDrain();
   orders_.Stop();
   context_.log.Write(EventRank::kState, "stopping")
@@ -388,13 +390,18 @@
            static_cast<std::int64_t>(context_.open_requests.size()));
 }
 
+auto Gateway::LongestDrain() const -> Duration {
+  return context_.settings.bounds.stop_grace - kStopReserve;
+}
+
 auto Gateway::FinishDrain() -> void {
-  const auto age = MonotonicNow() - *drain_started_;
-  const auto longest = context_.settings.bounds.stop_grace - kStopReserve;
+  const auto now = MonotonicNow();
+  const auto age = now - drain_started_;
+  const auto longest = LongestDrain();
   if (age < std::min<Duration>(kStopAccepting, longest)) return;
   callers_.StopAccepting();
   // Repeated until the end, for requests that are read meanwhile.
-  if (age >= longest - kFinalAnswerTime) context_.AnswerOpenRequests();
+  if (now >= *context_.final_answers_at) context_.AnswerOpenRequests();
   if (callers_.BusySessions() > 0 && age < longest) return;
   context_.LogBrokenRequests();
   context_.log.Write(EventRank::kState, "stopped")
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -58,6 +58,8 @@
   auto SetLevels() -> void;
   auto NoteClocks(Timestamp now) -> void;
   auto RegisterSelf() -> void;
+  // How long after the stop signal the process may run.
+  auto LongestDrain() const -> Duration;
   auto FinishDrain() -> void;
 
   GatewayContext context_;
@@ -76,7 +78,7 @@
   bool draining_ = false;
   // Whether this daemon reads the list of upstreams from the store itself.
   bool following_ = true;
-  std::optional<Timestamp> drain_started_;
+  Timestamp drain_started_{};
   // When to write the registration unless the list of members shows it.
   Timestamp registration_due_{};
   Timestamp swept_at_{};
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_set>
 #include <utility>
@@ -48,6 +49,7 @@
   serving::UpstreamSelector choice;
   serving::ColdStartLimiter cold_gate;
   serving::RetryBudget repeats;
+  serving::ServiceTimeEstimate service_times;
   fleet::GrantedTokens granted_tokens;
   eventhttp::ConnectionPool connections;
   Random random;
@@ -65,6 +67,8 @@
   // Every request from its arrival until nothing refers to it any more.
   std::unordered_set<RequestExchange*> open_requests;
   Timestamp started_at;
+  // Set while the process stops: when open requests get their final answer.
+  std::optional<Timestamp> final_answers_at;
   // When a hub last told the load of other daemons; zero before the first time.
   Timestamp hub_answered_at{};
   // Writes buffered log lines shortly after the first of them, so that a
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -127,6 +127,9 @@
 
 auto RequestExchange::Begin(Timestamp now) -> void {
   if (!Identify()) return;
+  if (StopComesTooSoon(now)) {
+    return Refuse(503, "process_stopping", kReturnToAnotherDaemon);
+  }
   ArmTimer();
   CountDemand(now);
   if (SpendTokens(now)) Dispatch(now);
@@ -299,6 +302,9 @@
   if (deadline_ - now < kLeastTime) {
     return Refuse(503, "no_time_left", std::nullopt);
   }
+  if (ran_ == 0 && StopComesTooSoon(now)) {
+    return Refuse(503, "process_stopping", kReturnToAnotherDaemon);
+  }
   const auto upstream = Choose(now);
   if (!upstream) return ParkForUpstream(upstream.error(), now);
   waiting_ = Waiting::kNothing;
@@ -334,6 +340,18 @@
   return std::min(whole, max_wait);
 }
 
+auto RequestExchange::MaxOutputTokens() const -> std::int64_t {
+  return request_.size ? request_.size->max_output_tokens : 0;
+}
+
+auto RequestExchange::StopComesTooSoon(Timestamp now) const -> bool {
+  if (!context_.final_answers_at) return false;
+  const auto expected =
+      context_.service_times.Expected(route_->name, MaxOutputTokens())
+          .value_or(route_->latency_target);
+  return now + expected > *context_.final_answers_at;
+}
+
 auto RequestExchange::Repeatable() const -> bool {
   return route_->kind == RequestKind::kIdempotent ||
          (Stream() && route_->resumable);
@@ -581,13 +599,22 @@
       // The stream ended within an event.
       return OnBroken(ExchangeEnd::kTruncated);
     }
+    ObserveServiceTime(now);
     CloseAttempt();
     session_->EndStream();
     return Finish("ok", "", status);
   }
+  ObserveServiceTime(now);
   PassWholeAnswer();
 }
 
+auto RequestExchange::ObserveServiceTime(Timestamp now) -> void {
+  // The rest of a resumed stream says nothing about whole ones.
+  if (attempt_->status / 100 != 2 || ran_ > 1) return;
+  context_.service_times.Observe(route_->name, MaxOutputTokens(),
+                                 now - attempt_->sent_at);
+}
+
 auto RequestExchange::PassWholeAnswer() -> void {
   const auto status = attempt_->status;
   const auto fields = std::move(attempt_->fields);
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -96,6 +96,8 @@
   auto MayRepeat(Timestamp now) const -> bool;
   auto TryAgain(const char* cause, Timestamp now) -> bool;
 
+  // Learns from the attempt, whose answer is complete, how long requests take.
+  auto ObserveServiceTime(Timestamp now) -> void;
   auto PassWholeAnswer() -> void;
   auto Refuse(int status, const char* cause,
               std::optional<Duration> retry_after) -> void;
@@ -103,6 +105,10 @@
   auto LogEnd(const char* outcome, const char* cause, int status) -> void;
   auto Repeatable() const -> bool;
   auto FirstEventPatience() const -> Duration;
+  auto MaxOutputTokens() const -> std::int64_t;
+  // Whether the request, sent now, would probably not be complete before the
+  // process stops.
+  auto StopComesTooSoon(Timestamp now) const -> bool;
   auto Stream() const -> bool {
     return route_->kind == serving::RequestKind::kStream;
   }
--- a/modules/serving/tests/serving_tests.cc
+++ b/modules/serving/tests/serving_tests.cc
@@ -390,5 +390,30 @@
   });
 }
 
+// Guards against requests that a stopping daemon accepts although it has to end
+// before they do: longer generations need more time.
+TEST(ServiceTimeEstimateTest, GrowsWithTheTokensOfTheRequest) {
+  ServiceTimeEstimate estimate;
+  EXPECT_FALSE(estimate.Expected("r", 100));
+  estimate.Observe("r", 100, seconds(1));
+  EXPECT_EQ(estimate.Expected("r", 400), Duration(seconds(4)));
+  estimate.Observe("plain", 0, milliseconds(20));
+  EXPECT_EQ(estimate.Expected("plain", 0), Duration(milliseconds(20)));
+}
+
+// Whatever comes first, the estimate approaches what requests take later.
+TEST(ServiceTimeEstimateTest, FollowsTheObservedTime) {
+  rc::check([] {
+    const auto before = *rc::gen::inRange(1, 10'000);
+    const auto after = *rc::gen::inRange(1, 10'000);
+    ServiceTimeEstimate estimate;
+    for (int i = 0; i < 50; ++i) estimate.Observe("r", 1, milliseconds(before));
+    for (int i = 0; i < 50; ++i) estimate.Observe("r", 1, milliseconds(after));
+    const auto expected = ToSeconds(*estimate.Expected("r", 1));
+    RC_ASSERT(std::abs(expected - after / 1000.0) <=
+              0.01 * std::abs(before - after) / 1000.0 + 1e-6);
+  });
+}
+
 }  // namespace
 }  // namespace dotterellug::serving
