Answer requests that have arrived before a stopping server closes

What callers see: a planned stop can end a connection although its next request has arrived: when it was read while a stream that began before the stop was being sent, when it lies unread in the socket of an idle connection as idle connections are closed, or when only a part of it has arrived as the process ends.

Change: a request that was read ahead is taken up and its answer closes the connection; a connection with unread input counts as busy and is not closed; requests read in part are refused with 503 when the final answers are given.

Result: three tests of ServerTest failed before (no answer in any of the three cases) and pass now; 39 eventhttp tests pass.

--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -401,7 +401,10 @@
   if (age < std::min<Duration>(kStopAccepting, longest)) return;
   callers_.StopAccepting();
   // Repeated until the end, for requests that are read meanwhile.
-  if (now >= *context_.final_answers_at) context_.AnswerOpenRequests();
+  if (now >= *context_.final_answers_at) {
+    context_.AnswerOpenRequests();
+    callers_.RefusePartialRequests();
+  }
   if (callers_.BusySessions() > 0 && age < longest) return;
   context_.LogBrokenRequests();
   context_.log.Write(EventRank::kState, "stopped")
--- a/modules/eventhttp/server/http_server.cc
+++ b/modules/eventhttp/server/http_server.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <utility>
-#include <vector>
 
 #include "eventhttp/message/socket_options.h"
 #include "eventhttp/server/server_session.h"
@@ -51,9 +50,16 @@
 auto HttpServer::StopAccepting() -> void {
   boost::system::error_code ignored;  // The descriptor is released in any case.
   acceptor_.close(ignored);
-  const std::vector<std::shared_ptr<ServerSession>> sessions(sessions_.begin(),
-                                                             sessions_.end());
-  for (const auto& session : sessions) session->CloseIfIdle();
+  for (const auto& session : CopyOfSessions()) session->CloseIfIdle();
+}
+
+auto HttpServer::RefusePartialRequests() -> void {
+  for (const auto& session : CopyOfSessions()) session->RefusePartialRequest();
+}
+
+auto HttpServer::CopyOfSessions() const
+    -> std::vector<std::shared_ptr<ServerSession>> {
+  return {sessions_.begin(), sessions_.end()};
 }
 
 auto HttpServer::BusySessions() const -> std::size_t {
@@ -85,9 +91,7 @@
   sweep_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     const auto now = MonotonicNow();
-    const std::vector<std::shared_ptr<ServerSession>> sessions(
-        sessions_.begin(), sessions_.end());
-    for (const auto& session : sessions) session->CheckTimeouts(now);
+    for (const auto& session : CopyOfSessions()) session->CheckTimeouts(now);
     Sweep();
   });
 }
--- a/modules/eventhttp/server/http_server.h
+++ b/modules/eventhttp/server/http_server.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "core/core.h"
 #include "eventhttp/message/head.h"
@@ -56,12 +57,17 @@
   auto Draining() const -> bool { return draining_; }
   // Stops accepting, and closes connections without a request.
   auto StopAccepting() -> void;
+  // Answers requests that have been read only in part with 503, because the
+  // server is about to end.
+  auto RefusePartialRequests() -> void;
   // Connections with a request that has not been answered completely.
   auto BusySessions() const -> std::size_t;
 
  private:
   friend class ServerSession;
 
+  // Sessions may end while the caller goes through them.
+  auto CopyOfSessions() const -> std::vector<std::shared_ptr<ServerSession>>;
   auto Accept() -> void;
   auto Sweep() -> void;
 
--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -117,10 +117,19 @@
     status = 431;
   }
   if (error == Reason::body_limit) status = 413;
+  RespondUnread(status, {});
+}
+
+auto ServerSession::RespondUnread(int status, const HeaderFields& fields)
+    -> void {
   parser_.reset();
   state_ = State::kAnswering;
   close_after_ = true;
-  Respond(status, {}, "");
+  Respond(status, fields, "");
+}
+
+auto ServerSession::RefusePartialRequest() -> void {
+  if (state_ == State::kReading) RespondUnread(503, {{"Retry-After", "0"}});
 }
 
 auto ServerSession::AppendHead(int status, const HeaderFields& fields) -> void {
@@ -188,8 +197,8 @@
   on_gone_ = nullptr;
   on_drained_ = nullptr;
   // A stream whose head was sent before the drain has not told its client to
-  // close, so this end does.
-  if (server_.Draining()) close_after_ = true;
+  // close, so this end does, unless the client has sent the next request.
+  if (server_.Draining() && input_.empty()) close_after_ = true;
   state_ = close_after_ ? State::kLingering : State::kIdle;
   state_since_ = MonotonicNow();
   Flush();
@@ -247,8 +256,17 @@
   server_.sessions_.erase(shared_from_this());
 }
 
+auto ServerSession::Busy() const -> bool {
+  if (state_ == State::kAnswering || state_ == State::kReading) return true;
+  if (UnsentBytes() > 0) return true;
+  if (state_ != State::kIdle) return false;
+  // The next request may have arrived without having been read yet.
+  boost::system::error_code error;
+  return !input_.empty() || (socket_.available(error) > 0 && !error);
+}
+
 auto ServerSession::CloseIfIdle() -> void {
-  if (state_ == State::kIdle && UnsentBytes() == 0 && input_.empty()) Close();
+  if (state_ == State::kIdle && !Busy()) Close();
 }
 
 auto ServerSession::CheckTimeouts(Timestamp now) -> void {
@@ -258,11 +276,8 @@
       if (age > server_.Limits().idle_timeout) CloseIfIdle();
       return;
     case State::kReading:
-      if (age <= server_.Limits().header_timeout) return;
-      parser_.reset();
-      state_ = State::kAnswering;
-      close_after_ = true;
-      return Respond(408, {}, "");
+      if (age > server_.Limits().header_timeout) RespondUnread(408, {});
+      return;
     case State::kLingering:
       if (UnsentBytes() == 0 && age > kLinger) Close();
       return;
--- a/modules/eventhttp/server/server_session.h
+++ b/modules/eventhttp/server/server_session.h
@@ -52,11 +52,13 @@
     return output_.size() + writing_.size() - written_;
   }
 
-  auto Busy() const -> bool {
-    return state_ == State::kAnswering || state_ == State::kReading ||
-           UnsentBytes() > 0;
-  }
+  // Whether a request has arrived, at least in part, that is not answered
+  // completely.
+  auto Busy() const -> bool;
+  // Closes the connection if no request is being read or answered.
   auto CloseIfIdle() -> void;
+  // Answers a request of which only a part was read with 503.
+  auto RefusePartialRequest() -> void;
   auto CheckTimeouts(Timestamp now) -> void;
 
  private:
@@ -73,6 +75,8 @@
   auto HandleEnd() -> void;
   auto ParseInput() -> void;
   auto RejectInput(boost::beast::error_code error) -> void;
+  // Answers a request that is not read any further, and closes.
+  auto RespondUnread(int status, const HeaderFields& fields) -> void;
   auto AnswerEnded() -> void;
   auto AppendHead(int status, const HeaderFields& fields) -> void;
   auto Flush() -> void;
--- a/modules/eventhttp/tests/server_tests.cc
+++ b/modules/eventhttp/tests/server_tests.cc
@@ -211,6 +211,56 @@
   EXPECT_NE(client.Received().find("0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a request that was read while a stream was being sent and gets
+// no answer: the stream's head did not announce that the connection closes.
+TEST_F(ServerTest, DrainAnswersARequestThatWasReadDuringAStream) {
+  answer_ = false;
+  RawClient client(loop_, address_);
+  client.Send("GET /1 HTTP/1.1\r\n\r\n");
+  Run([&] { return !sessions_.empty(); });
+  sessions_[0]->BeginStream(200, {}, std::nullopt);
+  client.Send("POST /2 HTTP/1.1\r\nContent-Length: 1\r\n\r\nb");
+  const auto read = MonotonicNow() + std::chrono::milliseconds(50);
+  Run([&] { return MonotonicNow() > read; });
+  server_.BeginDrain();
+  answer_ = true;
+  sessions_[0]->EndStream();
+  Run([&] { return client.Ended(); });
+  EXPECT_NE(client.Received().find("\r\n\r\nb"), std::string::npos);
+  EXPECT_NE(client.Received().find("Connection: close"), std::string::npos);
+}
+
+// Guards against the loss of a request that has arrived on an idle connection
+// but has not been read when the connections of a stopping server are closed.
+TEST_F(ServerTest, StopAcceptingKeepsAConnectionWithAnUnreadRequest) {
+  RawClient client(loop_, address_);
+  client.Send("GET /1 HTTP/1.1\r\n\r\n");
+  Run([&] { return client.Received().find("X-Id") != std::string::npos; });
+  Run([&] { return server_.BusySessions() == 0; });
+  client.Send("POST /2 HTTP/1.1\r\nContent-Length: 1\r\n\r\nb");
+  server_.BeginDrain();
+  server_.StopAccepting();
+  EXPECT_EQ(server_.BusySessions(), 1U);
+  Run([&] { return client.Ended(); });
+  EXPECT_NE(client.Received().find("\r\n\r\nb"), std::string::npos);
+}
+
+// Guards against connections that end without an answer in the middle of a
+// request when a planned stop ends.
+TEST_F(ServerTest, RefusesRequestsThatAreNotReadCompletely) {
+  RawClient client(loop_, address_);
+  client.Send("POST /1 HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+  Run([&] { return server_.BusySessions() == 1; });
+  server_.BeginDrain();
+  Run([&] {
+    server_.RefusePartialRequests();
+    return client.Ended();
+  });
+  ASSERT_TRUE(client.Ended());
+  EXPECT_EQ(client.Received().substr(9, 3), "503");
+  EXPECT_TRUE(requests_.empty());
+}
+
 TEST_F(ServerTest, AnswersDuringADrainSayClose) {
   server_.BeginDrain();
   RawClient client(loop_, address_);
