Answer requests in the accept queue and in the socket at the end of a stream

What callers see: when a stopping server closes its listener, connections that wait to be accepted are reset with the requests on them; and a request that lies unread in the socket as a stream ends, whose head did not announce it, is closed without an answer.

Change: waiting connections are accepted before the listener closes; one function tells whether input of a further request has arrived, for the end of a stream and for idle connections.

--- a/modules/eventhttp/server/http_server.cc
+++ b/modules/eventhttp/server/http_server.cc
@@ -48,6 +48,7 @@
 }
 
 auto HttpServer::StopAccepting() -> void {
+  AcceptWaiting();
   boost::system::error_code ignored;  // The descriptor is released in any case.
   acceptor_.close(ignored);
   for (const auto& session : CopyOfSessions()) session->CloseIfIdle();
@@ -78,14 +79,29 @@
       pause->async_wait([this, pause](boost::system::error_code) { Accept(); });
       return;
     }
-    ApplySocketOptions(socket, kCallerSocketTimeouts);
-    auto session = std::make_shared<ServerSession>(*this, std::move(socket));
-    sessions_.insert(session);
-    session->Start();
+    StartSession(std::move(socket));
     Accept();
   });
 }
 
+auto HttpServer::StartSession(boost::asio::ip::tcp::socket socket) -> void {
+  ApplySocketOptions(socket, kCallerSocketTimeouts);
+  auto session = std::make_shared<ServerSession>(*this, std::move(socket));
+  sessions_.insert(session);
+  session->Start();
+}
+
+auto HttpServer::AcceptWaiting() -> void {
+  if (!acceptor_.is_open()) return;
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    boost::asio::ip::tcp::socket socket(loop_);
+    acceptor_.accept(socket, error);
+    if (!error) StartSession(std::move(socket));
+  }
+}
+
 auto HttpServer::Sweep() -> void {
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](boost::system::error_code error) {
--- a/modules/eventhttp/server/http_server.h
+++ b/modules/eventhttp/server/http_server.h
@@ -69,6 +69,9 @@
   // Sessions may end while the caller goes through them.
   auto CopyOfSessions() const -> std::vector<std::shared_ptr<ServerSession>>;
   auto Accept() -> void;
+  // Accepts the connections that clients have made but that wait in the queue.
+  auto AcceptWaiting() -> void;
+  auto StartSession(boost::asio::ip::tcp::socket socket) -> void;
   auto Sweep() -> void;
 
   boost::asio::io_context& loop_;
--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -198,7 +198,7 @@
   on_drained_ = nullptr;
   // A stream whose head was sent before the drain has not told its client to
   // close, so this end does, unless the client has sent the next request.
-  if (server_.Draining() && input_.empty()) close_after_ = true;
+  if (server_.Draining() && !HasUnreadInput()) close_after_ = true;
   state_ = close_after_ ? State::kLingering : State::kIdle;
   state_since_ = MonotonicNow();
   Flush();
@@ -259,8 +259,10 @@
 auto ServerSession::Busy() const -> bool {
   if (state_ == State::kAnswering || state_ == State::kReading) return true;
   if (UnsentBytes() > 0) return true;
-  if (state_ != State::kIdle) return false;
-  // The next request may have arrived without having been read yet.
+  return state_ == State::kIdle && HasUnreadInput();
+}
+
+auto ServerSession::HasUnreadInput() const -> bool {
   boost::system::error_code error;
   return !input_.empty() || (socket_.available(error) > 0 && !error);
 }
--- a/modules/eventhttp/server/server_session.h
+++ b/modules/eventhttp/server/server_session.h
@@ -70,6 +70,8 @@
     kClosed,
   };
 
+  // Whether bytes of a further request have arrived, read ahead or not read.
+  auto HasUnreadInput() const -> bool;
   auto WaitForInput() -> void;
   auto ReadInput() -> void;
   auto HandleEnd() -> void;
--- a/modules/eventhttp/tests/server_tests.cc
+++ b/modules/eventhttp/tests/server_tests.cc
@@ -245,6 +245,32 @@
   EXPECT_NE(client.Received().find("\r\n\r\nb"), std::string::npos);
 }
 
+// The same for a request on a connection that has not been accepted yet.
+TEST_F(ServerTest, StopAcceptingTakesTheConnectionsThatWait) {
+  RawClient client(loop_, address_);
+  client.Send("POST /1 HTTP/1.1\r\nContent-Length: 1\r\n\r\nb");
+  server_.BeginDrain();
+  server_.StopAccepting();
+  Run([&] { return client.Ended(); });
+  EXPECT_NE(client.Received().find("\r\n\r\nb"), std::string::npos);
+}
+
+// The same for a request that arrives unread while a stream ends, whose head
+// did not announce that the connection closes.
+TEST_F(ServerTest, DrainAnswersARequestThatWaitsAtTheEndOfAStream) {
+  answer_ = false;
+  RawClient client(loop_, address_);
+  client.Send("GET /1 HTTP/1.1\r\n\r\n");
+  Run([&] { return !sessions_.empty(); });
+  sessions_[0]->BeginStream(200, {}, std::nullopt);
+  server_.BeginDrain();
+  client.Send("POST /2 HTTP/1.1\r\nContent-Length: 1\r\n\r\nb");
+  answer_ = true;
+  sessions_[0]->EndStream();
+  Run([&] { return client.Ended(); });
+  EXPECT_NE(client.Received().find("\r\n\r\nb"), std::string::npos);
+}
+
 // Guards against connections that end without an answer in the middle of a
 // request when a planned stop ends.
 TEST_F(ServerTest, RefusesRequestsThatAreNotReadCompletely) {
