Mend the end of a planned stop where a review proved faults

- A queued handler of the event loop may hold a request longer than the gateway lives, and its destructor erased itself from a set of the gateway (SIGSEGV of PlannedStopTest under MALLOC_PERTURB_=165).
The set is shared, and a request leaves it with its final answer.
- With a short grace period, or after a stall of the loop, final answers and the end of the process fell into one call, so a request in a socket got nothing.
One more call lies between them now, and accepting stops no later than the final answers begin.
- An attempt whose connection was still being made counted as possibly run: 502 or 504 to a caller that may not repeat it.
It has not run: 503.
- A request that had not run was sent to another upstream though it could not end before the process; it is refused with Retry-After 0, as are all others that find no upstream in a stopping daemon.
- The 503 to a request that waited for the configuration had no id; requests are decoded on arrival.

no_time_before_stop is the new name of the cause of early refusals.

--- a/client/explain/request_story.cc
+++ b/client/explain/request_story.cc
@@ -407,7 +407,7 @@
       return "refused: the daemon knew no configuration yet" + OwnEvidence();
     }
     if (cause == "process_stopped") return ProcessStopped(took);
-    if (cause == "process_stopping") {
+    if (cause == "no_time_before_stop") {
       return "refused after " + took +
              ": its daemon was being stopped and had too little time left for "
              "it";
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -22,7 +22,7 @@
 constexpr auto kStopAccepting = std::chrono::milliseconds(2600);
 // Time kept at the end of the grace period for leaving in order.
 constexpr auto kStopReserve = std::chrono::milliseconds(400);
-// Before that, time to send the final answers to requests that are still open.
+// Time before that in which the final answers to open requests are sent.
 constexpr auto kFinalAnswerTime = std::chrono::milliseconds(250);
 // A pause of the event loop, or a change of the time of day, that is worth a
 // log line: longer than a few ticks.
@@ -299,7 +299,7 @@
     return last == Timestamp{} ? -1 : ToSeconds(now - last);
   };
   metrics.Set(GatewayLevel::kOpenRequests,
-              static_cast<double>(context_.open_requests.size()));
+              static_cast<double>(context_.open_requests->size()));
   metrics.Set(GatewayLevel::kWaitingRequests,
               static_cast<double>(context_.parked.size()));
   metrics.Set(GatewayLevel::kUpstreams,
@@ -370,8 +370,8 @@
         .Add("source", follow ? "store" : "hub");
   }
   if (draining_) FinishDrain();
-  tick_.expires_after(context_.parked.empty() ? Duration(kIdleTick)
-                                              : Duration(kTick));
+  const bool busy = !context_.parked.empty() || final_answers_given_;
+  tick_.expires_after(busy ? Duration(kTick) : Duration(kIdleTick));
   tick_.async_wait([this](boost::system::error_code error) {
     if (!error) Tick();
   });
@@ -387,7 +387,7 @@
   orders_.Stop();
   context_.log.Write(EventRank::kState, "stopping")
       .Add("open_requests",
-           static_cast<std::int64_t>(context_.open_requests.size()));
+           static_cast<std::int64_t>(context_.open_requests->size()));
 }
 
 auto Gateway::LongestDrain() const -> Duration {
@@ -397,19 +397,21 @@
 auto Gateway::FinishDrain() -> void {
   const auto now = MonotonicNow();
   const auto age = now - drain_started_;
-  const auto longest = LongestDrain();
-  if (age < std::min<Duration>(kStopAccepting, longest)) return;
+  const bool answer_now = now >= *context_.final_answers_at;
+  if (age < kStopAccepting && !answer_now) return;
   callers_.StopAccepting();
-  // Repeated until the end, for requests that are read meanwhile.
-  if (now >= *context_.final_answers_at) {
+  if (answer_now) {
+    // Repeated until the end, for requests that are read meanwhile.
     context_.AnswerOpenRequests();
     callers_.RefusePartialRequests();
+    // Requests that wait in sockets are read before the next call.
+    if (!std::exchange(final_answers_given_, true)) return;
   }
-  if (callers_.BusySessions() > 0 && age < longest) return;
+  if (callers_.BusySessions() > 0 && age < LongestDrain()) return;
   context_.LogBrokenRequests();
   context_.log.Write(EventRank::kState, "stopped")
       .Add("open_requests",
-           static_cast<std::int64_t>(context_.open_requests.size()))
+           static_cast<std::int64_t>(context_.open_requests->size()))
       .AddMs("took_ms", age);
   context_.log.Flush(MonotonicNow());
   context_.loop.stop();
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -79,6 +79,7 @@
   // Whether this daemon reads the list of upstreams from the store itself.
   bool following_ = true;
   Timestamp drain_started_{};
+  bool final_answers_given_ = false;
   // When to write the registration unless the list of members shows it.
   Timestamp registration_due_{};
   Timestamp swept_at_{};
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -56,15 +56,15 @@
 auto GatewayContext::AnswerOpenRequests() -> void {
   // An answer may end the exchange, which removes it from the set.
   std::vector<std::shared_ptr<RequestExchange>> open;
-  open.reserve(open_requests.size());
-  for (auto* exchange : open_requests) {
+  open.reserve(open_requests->size());
+  for (auto* exchange : *open_requests) {
     open.push_back(exchange->shared_from_this());
   }
   for (const auto& exchange : open) exchange->AnswerBeforeStop();
 }
 
 auto GatewayContext::LogBrokenRequests() -> void {
-  for (auto* exchange : open_requests) exchange->LogProcessStopped();
+  for (auto* exchange : *open_requests) exchange->LogProcessStopped();
 }
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -64,10 +64,13 @@
   std::vector<std::shared_ptr<RequestExchange>> parked;
   // Reports to the hub at once, because a request waits for its answer.
   std::function<void()> report_now;
-  // Every request from its arrival until nothing refers to it any more.
-  std::unordered_set<RequestExchange*> open_requests;
+  // Requests without a final answer. Shared with them, since handlers that the
+  // event loop still holds may outlive the gateway.
+  std::shared_ptr<std::unordered_set<RequestExchange*>> open_requests =
+      std::make_shared<std::unordered_set<RequestExchange*>>();
   Timestamp started_at;
-  // Set while the process stops: when open requests get their final answer.
+  // When open requests get their final answer because the process stops; not
+  // set before the stop signal.
   std::optional<Timestamp> final_answers_at;
   // When a hub last told the load of other daemons; zero before the first time.
   Timestamp hub_answered_at{};
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -37,7 +37,7 @@
 constexpr auto kReturnAfter = std::chrono::milliseconds(1000);
 // When a caller is asked to come back whose daemon stops: another daemon can
 // take its request at once.
-constexpr auto kReturnToAnotherDaemon = std::chrono::milliseconds(0);
+constexpr Duration kReturnToAnotherDaemon{0};
 // A request that arrives before the configuration waits so long for it.
 constexpr auto kConfigurationWait = std::chrono::milliseconds(900);
 // Before the configuration is known.
@@ -108,14 +108,18 @@
       http_(std::move(request)),
       arrival_(http_.received_at),
       trace_(context, arrival_),
-      timer_(context.loop) {
-  context_.open_requests.insert(this);
+      timer_(context.loop),
+      open_requests_(context.open_requests) {
+  open_requests_->insert(this);
 }
 
-RequestExchange::~RequestExchange() { context_.open_requests.erase(this); }
+RequestExchange::~RequestExchange() { open_requests_->erase(this); }
 
 auto RequestExchange::Start() -> void {
   session_->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+  auto decoded = context_.dialect.decode_request(http_.head);
+  well_formed_ = decoded.has_value();
+  if (decoded) request_ = std::move(*decoded);
   if (session_->ClientHasLeft()) return OnCallerGone();
   const auto now = MonotonicNow();
   if (context_.catalog) return Begin(now);
@@ -127,8 +131,8 @@
 
 auto RequestExchange::Begin(Timestamp now) -> void {
   if (!Identify()) return;
-  if (StopComesTooSoon(now)) {
-    return Refuse(503, "process_stopping", kReturnToAnotherDaemon);
+  if (CannotFinishBeforeStop(now)) {
+    return Refuse(503, "no_time_before_stop", ReturnDelay());
   }
   ArmTimer();
   CountDemand(now);
@@ -137,14 +141,12 @@
 
 // Finds route, account and deadline, or answers the request.
 auto RequestExchange::Identify() -> bool {
-  auto decoded = context_.dialect.decode_request(http_.head);
-  if (decoded) request_ = std::move(*decoded);
   catalog_ = context_.catalog;
   if (!catalog_) {
     Refuse(503, "not_configured", kReturnWhenConfigured);
     return false;
   }
-  if (!decoded) {
+  if (!well_formed_) {
     Refuse(400, "malformed", std::nullopt);
     return false;
   }
@@ -298,12 +300,12 @@
 
 auto RequestExchange::Dispatch(Timestamp now) -> void {
   if (pool_ == nullptr) pool_ = ChoosePool();
-  if (pool_ == nullptr) return Refuse(503, "no_pool", kReturnAfter);
+  if (pool_ == nullptr) return Refuse(503, "no_pool", ReturnDelay());
   if (deadline_ - now < kLeastTime) {
     return Refuse(503, "no_time_left", std::nullopt);
   }
-  if (ran_ == 0 && StopComesTooSoon(now)) {
-    return Refuse(503, "process_stopping", kReturnToAnotherDaemon);
+  if (ran_ == 0 && CannotFinishBeforeStop(now)) {
+    return Refuse(503, "no_time_before_stop", ReturnDelay());
   }
   const auto upstream = Choose(now);
   if (!upstream) return ParkForUpstream(upstream.error(), now);
@@ -327,7 +329,7 @@
   const auto until = arrival_ + Part(FirstEventPatience(), part);
   if (now < until) return Park(Waiting::kUpstream, until);
   if (ran_ > 0) return Refuse(502, waits_for_, std::nullopt);
-  Refuse(503, waits_for_, kReturnAfter);
+  Refuse(503, waits_for_, ReturnDelay());
 }
 
 // How long the caller waits for the first sign of an answer.
@@ -340,11 +342,16 @@
   return std::min(whole, max_wait);
 }
 
+auto RequestExchange::ReturnDelay() const -> Duration {
+  return context_.final_answers_at ? kReturnToAnotherDaemon
+                                   : Duration(kReturnAfter);
+}
+
 auto RequestExchange::MaxOutputTokens() const -> std::int64_t {
   return request_.size ? request_.size->max_output_tokens : 0;
 }
 
-auto RequestExchange::StopComesTooSoon(Timestamp now) const -> bool {
+auto RequestExchange::CannotFinishBeforeStop(Timestamp now) const -> bool {
   if (!context_.final_answers_at) return false;
   const auto expected =
       context_.service_times.Expected(route_->name, MaxOutputTokens())
@@ -430,9 +437,8 @@
       session_->Abort();
       return Finish("failed", "deadline_in_stream", 0);
     }
-    const bool may_have_run = ran_ > 0;
     DropAttempt();
-    return Refuse(may_have_run ? 504 : 503, "deadline", std::nullopt);
+    return Refuse(ran_ > 0 ? 504 : 503, "deadline", std::nullopt);
   }
   if (attempt_ && attempt_->discard) return StopDiscarding();
   if (!attempt_ || attempt_->head_seen) return ArmTimer();
@@ -591,7 +597,7 @@
       return Finish("failed", cause, 0);
     }
     if (ran_ > 0) return Refuse(502, cause, std::nullopt);
-    return Refuse(503, cause, kReturnAfter);
+    return Refuse(503, cause, ReturnDelay());
   }
   if (!Stream() || !answering_) attempt_->upstream->RecordSuccess(now);
   if (answering_) {
@@ -651,7 +657,7 @@
     session_->Abort();
     return Finish("failed", cause, 0);
   }
-  if (ran_ == 0) return Refuse(503, cause, kReturnAfter);
+  if (ran_ == 0) return Refuse(503, cause, ReturnDelay());
   Refuse(502, cause, std::nullopt);
 }
 
@@ -677,7 +683,12 @@
 }
 
 auto RequestExchange::DropAttempt() -> void {
-  if (attempt_) attempt_->connection->Cancel();
+  if (attempt_) {
+    const auto& connection = attempt_->connection;
+    // Without a connection the upstream has not got the request.
+    if (!connection->Connected()) --ran_;
+    connection->Cancel();
+  }
   CloseAttempt();
 }
 
@@ -692,6 +703,7 @@
 auto RequestExchange::TryAgain(const char* cause, Timestamp now) -> bool {
   if (sent_ >= route_->max_upstreams + kMostNotRun) return false;
   if (deadline_ - now < kLeastTime) return false;
+  if (ran_ == 0 && CannotFinishBeforeStop(now)) return false;
   if (!context_.repeats.TryRetry(pool_->id, now)) return false;
   const auto upstream = Choose(now);
   context_.log.Write(EventRank::kFailure, "repeat")
@@ -722,6 +734,7 @@
   done_ = true;
   waiting_ = Waiting::kNothing;
   timer_.cancel();
+  open_requests_->erase(this);
   session_->OnGone(nullptr);
   session_->OnDrained(nullptr);
   LogEnd(outcome, cause, status);
@@ -731,7 +744,7 @@
   if (done_ || answering_) return;
   DropAttempt();
   if (ran_ > 0) return Refuse(502, "process_stopped", std::nullopt);
-  Refuse(503, "process_stopped", kReturnToAnotherDaemon);
+  Refuse(503, "process_stopped", ReturnDelay());
 }
 
 auto RequestExchange::LogProcessStopped() -> void {
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -105,10 +105,12 @@
   auto LogEnd(const char* outcome, const char* cause, int status) -> void;
   auto Repeatable() const -> bool;
   auto FirstEventPatience() const -> Duration;
+  // When a caller whose request found no upstream is asked to come back.
+  auto ReturnDelay() const -> Duration;
   auto MaxOutputTokens() const -> std::int64_t;
   // Whether the request, sent now, would probably not be complete before the
   // process stops.
-  auto StopComesTooSoon(Timestamp now) const -> bool;
+  auto CannotFinishBeforeStop(Timestamp now) const -> bool;
   auto Stream() const -> bool {
     return route_->kind == serving::RequestKind::kStream;
   }
@@ -117,6 +119,8 @@
   std::shared_ptr<eventhttp::ServerSession> session_;
   eventhttp::ServerRequest http_;
   serving::ServiceRequest request_;
+  // Whether `request_` could be decoded.
+  bool well_formed_ = false;
   // Keeps the configuration that decided the request, and its route.
   std::shared_ptr<const serving::ServingCatalog> catalog_;
   const serving::ServiceRoute* route_ = nullptr;
@@ -144,6 +148,7 @@
   bool done_ = false;
   serving::EventSplitter events_;
   boost::asio::steady_timer timer_;
+  std::shared_ptr<std::unordered_set<RequestExchange*>> open_requests_;
 };
 
 }  // namespace dotterellug::gateway
--- a/modules/eventhttp/client/client_connection.h
+++ b/modules/eventhttp/client/client_connection.h
@@ -54,6 +54,8 @@
   auto Pause() -> void { paused_ = true; }
   auto Resume() -> void;
 
+  // Whether the connection was made, so that a request may have been sent.
+  auto Connected() const -> bool { return connected_; }
   // Whether another exchange may follow.
   auto Reusable() const -> bool { return reusable_ && !closed_; }
   auto Address() const -> const SocketAddress& { return address_; }
