Make the fault soak find requests that a planned stop leaves unanswered

Cause: the check excused every request without an answer at a stopping daemon if no upstream had run it; no request waited longer than the grace period; daemons were stopped one at a time, and a process that outlived its grace period was waited for.

Change: without an answer may end only what crossed the close of its connection: not run, and ended within 200 ms. Answers that are cut are checked too, and a stop counts until its process has ended, no longer for 9 s. A quarter of the streams ask for a model that no engine holds at first and that loads in 2 to 20 s, with a time limit of 15 s. SIGTERM and SIGHUP go through all daemons in series that overlap, a daemon may get SIGTERM twice, and is killed after the grace period, which breaks a promise. Callers use any of their open connections until the peer closes them. Every third seed draws planned work only.

Tests: AStopMayCloseWhatNobodyRan let a request end 0.5 s after it was sent, which was the fault of the check; it now takes 0.15 s and FindsARequestThatAStopLeftUnansweredAfterAWait expects the other. Refusals in the fixture are complete, as they are in a run. FindsASuccessThatIsNotWhole expects a finding for a cut answer in calm, and none while an upstream breaks off.

--- a/extras/soak/callers.cc
+++ b/extras/soak/callers.cc
@@ -10,6 +10,12 @@
 
 constexpr Seconds kCallLimit = 2;
 constexpr Seconds kStreamLimit = 5;
+constexpr Seconds kPatientLimit = 15;
+// Parts of streams for the patient model, and of requests that open a
+// connection although an open one is at hand.
+constexpr double kPatientPart = 0.25;
+constexpr double kNewConnectionPart = 0.2;
+constexpr std::size_t kMostKept = 16;
 
 auto PathOf(CallKind kind) -> std::string {
   switch (kind) {
@@ -70,6 +76,22 @@
   return std::nullopt;
 }
 
+auto Callers::Connect(std::size_t daemon) -> Connection {
+  auto& kept = kept_[daemon];
+  const bool takes = targets[daemon].takes_connections;
+  const bool renews = takes && random_.Uniform() < kNewConnectionPart;
+  while (!renews && !kept.empty()) {
+    // Any of them, so that some stay idle until their daemon stops.
+    std::swap(kept[random_.Below(kept.size())], kept.back());
+    const auto connection = std::move(kept.back());
+    kept.pop_back();
+    if (connection->Reusable()) return connection;
+  }
+  if (!takes) return nullptr;
+  return std::make_shared<eventhttp::ClientConnection>(loop_,
+                                                       targets[daemon].address);
+}
+
 auto Callers::SendOne() -> void {
   const auto daemon = Choose();
   if (!daemon) return;
@@ -84,17 +106,12 @@
   facts.daemon = *daemon;
   facts.sent_at = clock_();
   const bool stream = facts.kind == CallKind::kStream;
-  facts.time_limit = stream ? kStreamLimit : kCallLimit;
-  auto& kept = kept_[*daemon];
-  while (!kept.empty() && !call->connection) {
-    if (kept.back()->Reusable()) call->connection = kept.back();
-    kept.pop_back();
-  }
-  if (!call->connection) {
-    if (!targets[*daemon].takes_connections) return;
-    call->connection = std::make_shared<eventhttp::ClientConnection>(
-        loop_, targets[*daemon].address);
-  }
+  const bool patient = stream && random_.Uniform() < kPatientPart;
+  facts.time_limit = patient  ? kPatientLimit
+                     : stream ? kStreamLimit
+                              : kCallLimit;
+  call->connection = Connect(*daemon);
+  if (!call->connection) return;
   call->record = ledger_.calls.size();
   ledger_.calls.push_back(facts);
   eventhttp::ExchangeHandlers handlers;
@@ -106,9 +123,13 @@
   handlers.on_end = [this, call](eventhttp::ExchangeEnd end) {
     OnEnd(call, end);
   };
-  const platform::CallerRequest request{
-      facts.id, PathOf(facts.kind), facts.key, FromSeconds(facts.time_limit),
-      stream ? models[random_.Below(models.size())] : std::string()};
+  platform::CallerRequest request{facts.id, PathOf(facts.kind), facts.key,
+                                  FromSeconds(facts.time_limit), ""};
+  if (stream) request.model = models[random_.Below(models.size())];
+  if (patient) {
+    request.path = "/draft/x";
+    request.model = patient_model;
+  }
   call->connection->Exchange(platform::EncodeCallerRequest(request),
                              std::move(handlers));
 }
@@ -126,10 +147,13 @@
   const bool complete = end == eventhttp::ExchangeEnd::kComplete;
   record.looks_complete = complete;
   record.whole = call->body == Expected(record.kind, record.id);
-  // Nothing was sent: a refusal to connect, not an unanswered request.
-  if (end == eventhttp::ExchangeEnd::kNotSent) record.status = 503;
-  if (complete && call->connection->Reusable()) {
-    kept_[record.daemon].push_back(call->connection);
+  // A refusal to connect, not an unanswered request.
+  record.was_sent = end != eventhttp::ExchangeEnd::kNotSent;
+  if (!record.was_sent) record.status = 503;
+  auto& kept = kept_[record.daemon];
+  if (complete && call->connection->Reusable() && kept.size() < kMostKept) {
+    call->connection->WatchIdle([] {});
+    kept.push_back(call->connection);
   }
   call->connection.reset();
 }
--- a/extras/soak/callers.h
+++ b/extras/soak/callers.h
@@ -36,6 +36,8 @@
   std::vector<CallerTarget> targets;
   std::vector<CallerKey> keys;
   std::vector<std::string> models;
+  // A model whose callers wait longer than a daemon's grace period.
+  std::string patient_model;
 
   // Begins to send, one request after each pause.
   auto Start(Duration pause) -> void;
@@ -47,6 +49,8 @@
 
   auto SendOne() -> void;
   auto Choose() -> std::optional<std::size_t>;
+  // An open connection to the daemon, or a new one if it takes those.
+  auto Connect(std::size_t daemon) -> Connection;
   auto OnHead(Call& call, const eventhttp::ResponseHead& head) -> void;
   auto OnEnd(const std::shared_ptr<Call>& call, eventhttp::ExchangeEnd end)
       -> void;
--- a/extras/soak/ledger.cc
+++ b/extras/soak/ledger.cc
@@ -37,6 +37,7 @@
   CheckRuns(lines);
   CheckAnswers(lines);
   CheckEnds(end, lines);
+  CheckStops(lines);
   CheckLimits(lines);
   CheckKeys(lines);
   CheckOrders(lines);
@@ -81,32 +82,65 @@
   }
 }
 
-// Every request ends in time; a planned stop ends none without an answer,
-// unless the request crossed the close of its connection and nobody ran it.
+auto Ledger::MayEndIncomplete(const CallRecord& call, bool ran) const -> bool {
+  const auto stop =
+      std::find_if(faults.begin(), faults.end(), [&](const auto& fault) {
+        return fault.scope == FaultScope::kPlannedStop &&
+               static_cast<std::size_t>(fault.daemon) == call.daemon &&
+               fault.begin <= call.ended_at &&
+               call.sent_at <= fault.end + bounds.crossing;
+      });
+  const bool stops = stop != faults.end();
+  if (call.status == 0) {
+    return stops && !ran && call.ended_at - call.sent_at <= bounds.crossing;
+  }
+  if (!Calm(call.daemon, call.sent_at, call.ended_at,
+            {FaultScope::kUpstream})) {
+    return true;
+  }
+  if (call.ended_at >= call.sent_at + call.time_limit) return true;
+  return stops && call.sent_at <= stop->begin + bounds.soon &&
+         call.ended_at >= stop->begin + bounds.grace * (1 - bounds.last_part);
+}
+
+// Every request ends in time. Without an answer ends only one that crossed the
+// close of its connection at a planned stop and that nobody ran.
 auto Ledger::CheckEnds(Seconds end, Lines& lines) const -> void {
   std::set<std::string> ran;
   for (const auto& run : runs) ran.insert(run.id);
   for (const auto& call : calls) {
     const auto latest = call.sent_at + call.time_limit + bounds.late;
-    if (latest > end) continue;
     const bool ended = call.ended_at >= 0;
+    if (!ended && latest > end) continue;
     const auto until = ended ? std::min(call.ended_at, latest) : latest;
     if (!Calm(call.daemon, call.sent_at, until, {FaultScope::kProcess})) {
       continue;
     }
-    const bool stops =
-        !Calm(call.daemon, call.sent_at, until, {FaultScope::kPlannedStop});
     if (!ended || call.ended_at > latest) {
       lines.push_back("request " + call.id + " of " + Text(call.sent_at) +
                       " had no end " + Text(bounds.late) + " after its limit");
-    } else if (call.status == 0 && !(stops && ran.count(call.id) == 0)) {
+    } else if (call.was_sent && !call.looks_complete &&
+               !MayEndIncomplete(call, ran.count(call.id) > 0)) {
       lines.push_back("request " + call.id + " of " + Text(call.sent_at) +
-                      " ended without an answer at daemon " +
-                      std::to_string(call.daemon));
+                      " ended after " + Text(call.ended_at - call.sent_at) +
+                      (call.status == 0 ? " without an answer"
+                                        : " with a part of an answer") +
+                      " at daemon d" + std::to_string(call.daemon + 1) +
+                      (ran.count(call.id) > 0 ? ", it ran" : ""));
     }
   }
 }
 
+// A planned stop is over within the grace period.
+auto Ledger::CheckStops(Lines& lines) const -> void {
+  for (const auto& fault : faults) {
+    if (!fault.needed_kill) continue;
+    lines.push_back("daemon d" + std::to_string(fault.daemon + 1) +
+                    ", stopped at " + Text(fault.begin) +
+                    ", outlived its grace period");
+  }
+}
+
 // In no window do an account's runs take more than its limit allows.
 auto Ledger::CheckLimits(Lines& lines) const -> void {
   std::map<std::string, std::int64_t> tokens;
--- a/extras/soak/ledger.h
+++ b/extras/soak/ledger.h
@@ -27,6 +27,8 @@
   Seconds time_limit = 0;
   // Negative while nothing has ended it.
   Seconds ended_at = -1;
+  // False when no connection could be opened.
+  bool was_sent = true;
   // 0 when the connection closed without an answer.
   int status = 0;
   bool has_receipt = false;
@@ -56,8 +58,11 @@
 enum class FaultScope {
   // A daemon's process was killed or paused: its requests may be lost.
   kProcess,
-  // A daemon was told to stop: it must lose nothing.
+  // A daemon was told to stop: it must lose nothing. Lasts until its process
+  // has ended.
   kPlannedStop,
+  // Other planned work, such as a reload: callers must notice nothing.
+  kPlannedWork,
   // The store, or the link to it: what daemons know may be old, but requests
   // are answered.
   kStore,
@@ -73,6 +78,8 @@
   int daemon = -1;
   Seconds begin = 0;
   Seconds end = 0;
+  // A stopping process that had not ended after the grace period was killed.
+  bool needed_kill = false;
 };
 
 // A key that was removed at `at`, as the store acknowledged it.
@@ -96,6 +103,14 @@
   Seconds contact = 4;
   // An answer may be later than the caller's limit by this much.
   Seconds late = 1;
+  // The grace period of a planned stop.
+  Seconds grace = 8;
+  // A request that crosses the close of its connection ends within this time.
+  Seconds crossing = 0.2;
+  // A stop may cut an answer that is still being sent in the last part of the
+  // grace period, to a request that was sent soon after the signal.
+  double last_part = 1.0 / 6;
+  Seconds soon = 3;
   // Orders of two holders are this far apart.
   Seconds lease = 3;
   // After a daemon was paused its late orders do not count for this long.
@@ -128,6 +143,9 @@
   auto CheckRuns(Lines& lines) const -> void;
   auto CheckAnswers(Lines& lines) const -> void;
   auto CheckEnds(Seconds end, Lines& lines) const -> void;
+  // Whether a request may have ended without a complete answer.
+  auto MayEndIncomplete(const CallRecord& call, bool ran) const -> bool;
+  auto CheckStops(Lines& lines) const -> void;
   auto CheckLimits(Lines& lines) const -> void;
   auto CheckKeys(Lines& lines) const -> void;
   auto CheckOrders(Lines& lines) const -> void;
--- a/extras/soak/main.cc
+++ b/extras/soak/main.cc
@@ -11,7 +11,7 @@
 DEFINE_uint64(seed, 1, "First seed.");
 DEFINE_uint64(seeds, 1, "Number of seeds to run, one after another.");
 DEFINE_uint64(daemons, 5, "Daemons of each run.");
-DEFINE_double(seconds, 20, "Length of each run.");
+DEFINE_double(seconds, 28, "Length of each run.");
 DEFINE_string(report, "", "Markdown file for the report; default: none.");
 DEFINE_string(work, "", "Folder for logs; default: a temporary one.");
 
--- a/extras/soak/tests/ledger_tests.cc
+++ b/extras/soak/tests/ledger_tests.cc
@@ -17,7 +17,8 @@
   call.time_limit = 2;
   call.ended_at = 10.5;
   call.status = status;
-  call.has_receipt = call.whole = call.looks_complete = status == 200;
+  call.has_receipt = call.whole = status == 200;
+  call.looks_complete = status != 0;
   return call;
 }
 
@@ -56,6 +57,8 @@
   ledger_.calls[0].whole = false;
   EXPECT_EQ(Count(), 1U);
   ledger_.calls[0].looks_complete = false;
+  EXPECT_EQ(Count(), 1U);
+  ledger_.faults = {{"breaks off", FaultScope::kUpstream, -1, 9, 12}};
   EXPECT_EQ(Count(), 0U);
   ledger_.calls[0].has_receipt = false;
   EXPECT_EQ(Count(), 1U);
@@ -75,12 +78,54 @@
   EXPECT_EQ(Count(), 1U);
 }
 
-TEST_F(LedgerTest, AStopMayCloseWhatNobodyRan) {
+TEST_F(LedgerTest, AStopMayCloseWhatCrossedTheCloseAndNobodyRan) {
   ledger_.calls = {Call("1", 0)};
+  ledger_.calls[0].ended_at = 10.15;
   ledger_.faults = {{"stop", FaultScope::kPlannedStop, 0, 9, 12}};
   EXPECT_EQ(Count(), 0U);
+  ledger_.faults[0].daemon = 1;
+  EXPECT_EQ(Count(), 1U);
+  ledger_.faults[0].daemon = 0;
+  ledger_.runs = {{"1", "a", "u", 10.1}};
+  EXPECT_EQ(Count(), 1U);
+}
+
+// A request that waited in a daemon until its planned stop was over.
+TEST_F(LedgerTest, FindsARequestThatAStopLeftUnansweredAfterAWait) {
+  ledger_.calls = {Call("1", 0)};
+  ledger_.calls[0].time_limit = 15;
+  ledger_.calls[0].ended_at = 16;
+  ledger_.faults = {{"stop", FaultScope::kPlannedStop, 0, 9, 16}};
+  EXPECT_EQ(Count(), 1U);
+  // Also when the run ends before the caller's limit.
+  EXPECT_EQ(ledger_.Broken(20).size(), 1U);
+  ledger_.calls[0].was_sent = false;
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerTest, FindsAnAnswerThatAStopCut) {
+  ledger_.calls = {Call("1", 200)};
+  auto& call = ledger_.calls[0];
+  call.time_limit = 15;
+  call.whole = call.looks_complete = false;
   ledger_.runs = {{"1", "a", "u", 10.1}};
   EXPECT_EQ(Count(), 1U);
+  ledger_.faults = {{"stop", FaultScope::kPlannedStop, 0, 9, 16.6}};
+  EXPECT_EQ(Count(), 1U);
+  call.ended_at = 15.9;
+  EXPECT_EQ(Count(), 0U);
+  // Sent too late for that excuse.
+  call.sent_at = 12.1;
+  EXPECT_EQ(Count(), 1U);
+  ledger_.faults.push_back({"is cut", FaultScope::kUpstream, -1, 14, 15});
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerTest, FindsADaemonThatOutlivesItsGracePeriod) {
+  ledger_.faults = {{"stop", FaultScope::kPlannedStop, 0, 9, 16.6}};
+  EXPECT_EQ(Count(), 0U);
+  ledger_.faults[0].needed_kill = true;
+  EXPECT_EQ(Count(), 1U);
 }
 
 TEST_F(LedgerTest, FindsAnAccountBeyondItsLimit) {
--- a/extras/soak/world.cc
+++ b/extras/soak/world.cc
@@ -17,7 +17,8 @@
 namespace {
 
 constexpr Seconds kCalmBegin = 3;
-constexpr Seconds kCalmEnd = 7;
+// Longer than the grace period.
+constexpr Seconds kCalmEnd = 10;
 constexpr Seconds kReadyTimeout = 15;
 constexpr Duration kCallPause = std::chrono::milliseconds(8);
 // Mean time between two faults; several last at the same time.
@@ -25,6 +26,16 @@
 constexpr std::int64_t kLimitedRate = 20;
 constexpr std::int64_t kLimitedBurst = 30;
 const std::vector<std::string> kModels{"m1", "m2", "m3", "m4"};
+constexpr const char* kPatientModel = "m5";
+constexpr Seconds kShortestLoad = 2;
+constexpr Seconds kLongestLoad = 20;
+// Pauses between two signals of a series.
+constexpr Seconds kShortestRollPause = 0.05;
+constexpr Seconds kLongestRollPause = 0.4;
+// A series ends within this part of the run.
+constexpr double kLongestRollPart = 0.4;
+constexpr Seconds kLagInterval = 0.02;
+constexpr std::uint64_t kPlannedWorkSeeds = 3;
 const std::vector<std::string> kZones{"a", "b"};
 constexpr const char* kPlainPool = "plain";
 constexpr const char* kEnginePool = "engines";
@@ -41,6 +52,8 @@
   SocketAddress readiness;
   // A fault of the process is under way.
   bool busy = false;
+  // Index of the planned stop that is under way.
+  std::optional<std::size_t> stop;
 };
 
 struct World::Upstream {
@@ -63,6 +76,7 @@
       callers_(
           loop_, ledger_, [this] { return Now(); }, plan_.seed) {
   callers_.models = kModels;
+  callers_.patient_model = kPatientModel;
   callers_.keys = {{"open", "key-open"}, {"limited", "key-limited"}};
   ledger_.accounts["limited"] = {static_cast<double>(kLimitedRate),
                                  static_cast<double>(kLimitedBurst)};
@@ -131,6 +145,7 @@
   upstreams_.push_back(std::make_unique<Upstream>(
       loop_, store_, std::move(observer), std::move(plan), seed));
   auto& upstream = *upstreams_.back();
+  DrawLoadTime(upstream);
   upstream.backend.Register(upstream.link.Address());
 }
 
@@ -140,10 +155,13 @@
   plan.routes = {
       {"once", "non_idempotent", kPlainPool, std::chrono::seconds(2)},
       {"read", "idempotent", kPlainPool, std::chrono::seconds(2)},
-      {"stream", "stream", kEnginePool, std::chrono::seconds(5)}};
+      {"stream", "stream", kEnginePool, std::chrono::seconds(5)},
+      {"draft", "stream", kEnginePool, std::chrono::seconds(15),
+       std::chrono::seconds(3)}};
   plan.plain_pool = kPlainPool;
   plan.engine_pool = kEnginePool;
   plan.models = kModels;
+  plan.models.emplace_back(kPatientModel);
   plan.accounts = {{"open", {"key-open", "key-" + std::to_string(key_number_)}},
                    {"limited", {"key-limited"}, kLimitedRate, kLimitedBurst}};
   platform::PutConfiguration(store_, plan);
@@ -152,6 +170,9 @@
 // Removes the key that changes and adds another one. Callers go on using the
 // removed key for a while.
 auto World::ChangeKeys() -> void {
+  if (key_number_ > 0) {
+    Note("configuration", FaultScope::kPlannedWork, -1, 0);
+  }
   const auto removed = "key-" + std::to_string(key_number_);
   ++key_number_;
   WriteConfiguration();
@@ -203,10 +224,15 @@
   if (!ready) return ready;
   const auto begin = Now();
   callers_.Start(kCallPause);
+  WatchLag();
   const auto faults_end = begin + plan_.seconds - kCalmEnd;
   std::function<void()> next = [&] {
     if (Now() > faults_end) return;
-    DrawFault();
+    if (plan_.seed % kPlannedWorkSeeds == 0) {
+      DrawPlannedWork();
+    } else {
+      DrawFault();
+    }
     After(kFaultPause * 2 * random_.Uniform(), next);
   };
   After(kCalmBegin, next);
@@ -225,7 +251,7 @@
   const auto daemon = random_.Below(daemons_.size());
   const auto upstream = random_.Below(upstreams_.size());
   const auto duration = 0.5 + 3 * random_.Uniform();
-  switch (random_.Below(10)) {
+  switch (random_.Below(12)) {
     case 0:
       return KillDaemon(daemon);
     case 1:
@@ -243,9 +269,61 @@
       return ReplaceUpstream(upstream);
     case 8:
       return ChangeKeys();
+    case 9:
+      return ReloadDaemon(daemon);
     default:
-      Note("reload", FaultScope::kUpstream, static_cast<int>(daemon), 0);
-      return daemons_[daemon]->process.Signal(SIGHUP);
+      return DrawPlannedWork();
+  }
+}
+
+auto World::DrawPlannedWork() -> void {
+  switch (random_.Below(6)) {
+    case 0:
+    case 1:
+      return RollSignal(SIGTERM);
+    case 2:
+      return RollSignal(SIGHUP);
+    case 3:
+      return StopDaemon(random_.Below(daemons_.size()));
+    case 4:
+      return ChangeKeys();
+    default:
+      return EvictPatientModel();
+  }
+}
+
+auto World::RollSignal(int number) -> void {
+  const auto drawn =
+      kShortestRollPause +
+      (kLongestRollPause - kShortestRollPause) * random_.Uniform();
+  const auto pause = std::min(drawn, plan_.seconds * kLongestRollPart /
+                                         static_cast<double>(daemons_.size()));
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    After(static_cast<double>(i) * pause, [this, i, number] {
+      if (number == SIGTERM) {
+        StopDaemon(i);
+      } else {
+        ReloadDaemon(i);
+      }
+    });
+  }
+}
+
+auto World::ReloadDaemon(std::size_t index) -> void {
+  Note("reload", FaultScope::kPlannedWork, static_cast<int>(index), 0);
+  daemons_[index]->process.Signal(SIGHUP);
+}
+
+auto World::DrawLoadTime(Upstream& upstream) -> void {
+  upstream.backend.SetLoadTime(FromSeconds(
+      kShortestLoad + (kLongestLoad - kShortestLoad) * random_.Uniform()));
+}
+
+auto World::EvictPatientModel() -> void {
+  Note("patient model is evicted", FaultScope::kPlannedWork, -1, 0);
+  for (auto& upstream : upstreams_) {
+    upstream->backend.Evict(kPatientModel);
+    DrawLoadTime(*upstream);
   }
 }
 
@@ -271,22 +349,43 @@
 
 auto World::StopDaemon(std::size_t index) -> void {
   auto& daemon = *daemons_[index];
+  // A second signal must change nothing.
+  if (daemon.stop) return daemon.process.Signal(SIGTERM);
   if (std::exchange(daemon.busy, true)) return;
-  Note("stop", FaultScope::kPlannedStop, static_cast<int>(index), 9);
+  daemon.stop = ledger_.faults.size();
+  const auto grace = ledger_.bounds.grace;
+  Note("stop", FaultScope::kPlannedStop, static_cast<int>(index), grace);
   daemon.process.Signal(SIGTERM);
+  After(grace,
+        [this, index, stop = *daemon.stop] { KillAfterGrace(index, stop); });
   // As a balancer does after two answers that it is not ready.
   After(2,
         [this, index] { callers_.targets[index].takes_connections = false; });
   After(0.5, [this, index] { RestartWhenGone(index); });
 }
 
+auto World::KillAfterGrace(std::size_t index, std::size_t stop) -> void {
+  auto& daemon = *daemons_[index];
+  if (daemon.stop != stop || !daemon.process.Running()) return;
+  ledger_.faults[stop].needed_kill = true;
+  daemon.process.Signal(SIGKILL);
+}
+
 auto World::RestartWhenGone(std::size_t index) -> void {
   auto& daemon = *daemons_[index];
   if (daemon.process.Running()) {
     return After(0.1, [this, index] { RestartWhenGone(index); });
   }
-  if (!daemon.process.Start()) {
-    return After(0.5, [this, index] { RestartWhenGone(index); });
+  // New connections find nobody until the next process listens.
+  callers_.targets[index].takes_connections = false;
+  if (daemon.stop) ledger_.faults[*daemon.stop].end = Now();
+  daemon.stop.reset();
+  Restart(index);
+}
+
+auto World::Restart(std::size_t index) -> void {
+  if (!daemons_[index]->process.Start()) {
+    return After(0.5, [this, index] { Restart(index); });
   }
   After(1.5, [this, index] {
     callers_.targets[index].takes_connections = true;
@@ -354,6 +453,13 @@
   After(0.5, [this, plan] { AddUpstream(plan.pool, plan.zone, plan.models); });
 }
 
+auto World::WatchLag() -> void {
+  After(kLagInterval, [this, due = Now() + kLagInterval] {
+    longest_lag_ = std::max(longest_lag_, Now() - due);
+    WatchLag();
+  });
+}
+
 auto World::Report() const -> std::string {
   std::map<std::string, int> outcomes;
   for (const auto& call : ledger_.calls) {
@@ -366,6 +472,9 @@
   for (const auto& [outcome, count] : outcomes) {
     text += outcome + ": " + std::to_string(count) + "; ";
   }
+  char lag[64];
+  std::snprintf(lag, sizeof lag, "own loop at most %.3f s late", longest_lag_);
+  text += lag;
   text += "\n\n| from s | to s | daemon | fault |\n|---|---|---|---|\n";
   for (const auto& fault : ledger_.faults) {
     char times[64];
--- a/extras/soak/world.h
+++ b/extras/soak/world.h
@@ -28,7 +28,7 @@
 
 // One run: daemons as processes of their own, the store and upstreams in this
 // one, callers, and faults that the seed draws. Faults begin after a calm time
-// and end before another one.
+// and end before another one. Every third seed draws planned work only.
 class World {
  public:
   explicit World(WorldPlan plan);
@@ -57,7 +57,20 @@
   auto KillDaemon(std::size_t index) -> void;
   auto PauseDaemon(std::size_t index, Seconds duration) -> void;
   auto StopDaemon(std::size_t index) -> void;
+  // Sends a signal to all daemons, one after the other.
+  auto RollSignal(int number) -> void;
+  // Ends a process that has outlived its grace period; `stop` is the index of
+  // the planned stop.
+  auto KillAfterGrace(std::size_t index, std::size_t stop) -> void;
+  auto ReloadDaemon(std::size_t index) -> void;
+  auto DrawPlannedWork() -> void;
+  // Engines lose the patient callers' model and load slowly from now on.
+  auto EvictPatientModel() -> void;
+  auto DrawLoadTime(Upstream& upstream) -> void;
+  // Notes how far this program's own loop lags behind its timers.
+  auto WatchLag() -> void;
   auto RestartWhenGone(std::size_t index) -> void;
+  auto Restart(std::size_t index) -> void;
   auto HarmStore(Seconds duration) -> void;
   auto HarmStoreLink(std::size_t index, Seconds duration) -> void;
   auto HarmUpstream(std::size_t index, Seconds duration) -> void;
@@ -77,6 +90,7 @@
   std::int64_t version_ = 0;
   int key_number_ = 0;
   int upstream_number_ = 0;
+  Seconds longest_lag_ = 0;
 };
 
 }  // namespace dotterellug::soak
