Add failing tests: requests on kept connections closed at a planned stop

The own interface ends the reading of every connection without a running handler when it stops accepting. A request that is on its way on a kept connection then gets a closed connection and no answer, and so does one whose body has arrived by half.

--- a/modules/frontend/tests/frontend_tests.cc
+++ b/modules/frontend/tests/frontend_tests.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <thread>
 
 #include "core/core.h"
 #include "frontend/frontend.h"
@@ -59,6 +60,51 @@
   std::unique_ptr<HttpServer> server_;
 };
 
+// A caller's connection that carries one request after another.
+class KeptConnection {
+ public:
+  explicit KeptConnection(std::uint16_t port)
+      : descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::connect(descriptor_, reinterpret_cast<sockaddr*>(&address),
+                        sizeof address),
+              0);
+  }
+  KeptConnection(const KeptConnection&) = delete;
+  auto operator=(const KeptConnection&) -> KeptConnection& = delete;
+  ~KeptConnection() { ::close(descriptor_); }
+
+  auto Send(const std::string& bytes) const -> void {
+    EXPECT_EQ(::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+
+  // One response, whose body must be "ok"; empty when the server closed the
+  // connection instead.
+  auto Receive() const -> std::string {
+    std::string received;
+    std::array<char, 4096> buffer;
+    const std::string end = "\r\n\r\nok";
+    while (received.find(end) == std::string::npos) {
+      const auto count = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
+      if (count <= 0) return "";
+      received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    return received;
+  }
+
+  auto IsClosed() const -> bool {
+    char byte = 0;
+    return ::recv(descriptor_, &byte, 1, 0) <= 0;
+  }
+
+ private:
+  int descriptor_;
+};
+
 struct RawRequest {
   const char* name;
   std::string bytes;
@@ -114,6 +160,52 @@
   EXPECT_NE(response.find("/p?a=%26b%3D&c"), std::string::npos) << response;
 }
 
+const char* const kGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+class KeptConnectionTest : public testing::Test {
+ protected:
+  auto SetUp() -> void override {
+    auto server =
+        HttpServer::Start({}, [](const HttpRequest&, const CallerConnection&) {
+          return HttpResponse{200, {}, "ok", false};
+        });
+    ASSERT_TRUE(server);
+    server_ = std::move(*server);
+  }
+
+  // Gives the threads of the connections time to act on the stop.
+  auto StopAcceptingAndSettle() -> void {
+    server_->StopAccepting();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+
+  std::unique_ptr<HttpServer> server_;
+};
+
+// Guards against a stop that closes a kept connection under a request that is
+// on its way, which then gets no answer.
+TEST_F(KeptConnectionTest, AnswersARequestThatArrivesWhileTheServerStops) {
+  const KeptConnection caller(server_->Port());
+  caller.Send(kGet);
+  ASSERT_NE(caller.Receive(), "");
+  while (server_->ActiveRequests() > 0) std::this_thread::yield();
+  StopAcceptingAndSettle();
+  caller.Send(kGet);
+  EXPECT_NE(caller.Receive().find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(caller.IsClosed());
+}
+
+// Guards against a stop that closes a connection between the two halves of a
+// request.
+TEST_F(KeptConnectionTest, AnswersARequestOfWhichHalfArrivedBeforeTheStop) {
+  const KeptConnection caller(server_->Port());
+  caller.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+  while (server_->ActiveRequests() == 0) std::this_thread::yield();
+  StopAcceptingAndSettle();
+  caller.Send("cd");
+  EXPECT_NE(caller.Receive().find("Connection: close"), std::string::npos);
+}
+
 // Guards against a parser that crashes or accepts half of a body; the corpus is
 // fixed by the seed.
 TEST(CompletionRequestTest, SurvivesDamagedBodies) {
