Close kept connections at a planned stop only after what is on its way

What callers saw: on a kept connection, a request that was on its way when a stopping daemon ended its drain time got a closed connection and no answer; so did one of whose body half had arrived, and one on a connection that waited to be accepted.

Cause: answers said "Connection: close" only after the drain time, so that busy callers' connections were still open when it ended. Then reading ended on every connection without a running handler, the listening socket was closed with the connections in its queue, and the process ended as soon as no request was active, whether or not one had just arrived.

Change: each answer from the stop signal on closes its connection. At the end of the drain time connections in the queue are taken in, and open ones may carry one more request. Without an active request the idle ones are closed for reading, which leaves what has already arrived readable, and the process ends only when no connection is open.

What remains: a request that a caller sends in the moment in which its connection, idle since the stop signal, is closed.

--- a/daemon/app/daemon.cc
+++ b/daemon/app/daemon.cc
@@ -105,10 +105,16 @@
   auto Drain() -> void {
     draining_ = true;
     LogState(LogSeverity::kInfo, "draining");
+    callers_->BeginDrain();
     hub_->Leave();
     std::this_thread::sleep_for(settings_.drain);
-    callers_->StopAccepting();
-    while (callers_->ActiveRequests() > 0) {
+    if (const auto lost = callers_->StopAccepting(); lost > 0) {
+      LogState(LogSeverity::kWarning,
+               "callers' connections closed at the stop: " +
+                   std::to_string(lost) + "; raise limits.connections");
+    }
+    while (callers_->OpenConnections() > 0) {
+      if (callers_->ActiveRequests() == 0) callers_->CloseIdleConnections();
       std::this_thread::sleep_for(kDrainPoll);
     }
     LogState(LogSeverity::kInfo, "drained");
--- a/modules/frontend/http/http_server.cc
+++ b/modules/frontend/http/http_server.cc
@@ -153,25 +153,60 @@
     return info == nullptr ? 0 : info->port;
   }
 
-  auto StopAccepting() -> void {
-    draining_ = true;
+  auto BeginDrain() -> void { draining_ = true; }
+
+  auto StopAccepting() -> std::size_t {
+    BeginDrain();
     const auto socket = MHD_quiesce_daemon(daemon_);
-    if (socket != MHD_INVALID_SOCKET) ::close(socket);
+    if (socket == MHD_INVALID_SOCKET) return 0;
+    const auto lost = TakeWaitingConnections(socket);
+    ::close(socket);
+    return lost;
+  }
+
+  auto CloseIdleConnections() -> void {
     const std::lock_guard lock(mutex_);
     for (const auto& [key, watched] : connections_) {
-      if (!watched.in_request) ::shutdown(watched.descriptor, SHUT_RD);
+      // A request that has already arrived can still be read after this.
+      if (!watched.begun) ::shutdown(watched.descriptor, SHUT_RD);
     }
   }
 
   auto ActiveRequests() const -> std::int64_t { return active_; }
 
+  auto OpenConnections() const -> std::size_t {
+    const std::lock_guard lock(mutex_);
+    return connections_.size();
+  }
+
  private:
   struct WatchedConnection {
     int descriptor = -1;
     Timestamp waiting_since;
+    // The head of a request has been read, and its response is not complete.
+    bool begun = false;
+    // The request is complete, its response is not.
     bool in_request = false;
   };
 
+  // Callers whose connections wait in the kernel's queue may have sent their
+  // requests already.
+  auto TakeWaitingConnections(MHD_socket listener) -> std::size_t {
+    std::size_t lost = 0;
+    while (true) {
+      sockaddr_in address{};
+      socklen_t size = sizeof address;
+      auto* generic = reinterpret_cast<sockaddr*>(&address);
+      const auto descriptor =
+          ::accept4(listener, generic, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (descriptor < 0) return lost;
+      // Closes the descriptor itself when it fails.
+      if (MHD_add_connection(daemon_, descriptor, generic, size) != MHD_YES) {
+        ++lost;
+      }
+    }
+  }
+
   static auto Descriptor(MHD_Connection* connection) -> int {
     const auto* info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -190,7 +225,7 @@
     const int no_delay = 1;
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &no_delay,
                  sizeof no_delay);
-    server->connections_[connection] = {descriptor, MonotonicNow(), false};
+    server->connections_[connection] = {descriptor, MonotonicNow()};
   }
 
   static auto OnCompleted(void* self, MHD_Connection* connection, void** state,
@@ -199,8 +234,8 @@
     if (*state == nullptr) return;
     delete static_cast<Exchange*>(*state);
     *state = nullptr;
+    server->Watch(connection, false, false);
     --server->active_;
-    server->Watch(connection, false);
   }
 
   static auto OnRequest(void* self, MHD_Connection* connection,
@@ -218,13 +253,14 @@
       *size = 0;
       return MHD_YES;
     }
-    server->Watch(connection, true);
+    server->Watch(connection, true, true);
     return server->Respond(connection, *exchange);
   }
 
   auto BeginExchange(MHD_Connection* connection, const char* path,
                      const char* method) -> Exchange* {
     ++active_;
+    MarkBegun(connection);
     auto exchange = std::make_unique<Exchange>();
     exchange->request.path = path;
     exchange->request.method = method;
@@ -286,14 +322,21 @@
     return result;
   }
 
-  auto Watch(MHD_Connection* connection, bool in_request) -> void {
+  auto Watch(MHD_Connection* connection, bool begun, bool in_request) -> void {
     const std::lock_guard lock(mutex_);
     const auto found = connections_.find(connection);
     if (found == connections_.end()) return;
+    found->second.begun = begun;
     found->second.in_request = in_request;
     found->second.waiting_since = MonotonicNow();
   }
 
+  auto MarkBegun(MHD_Connection* connection) -> void {
+    const std::lock_guard lock(mutex_);
+    const auto found = connections_.find(connection);
+    if (found != connections_.end()) found->second.begun = true;
+  }
+
   auto CloseSlowConnections() -> void {
     std::unique_lock lock(mutex_);
     while (!stopping_) {
@@ -311,7 +354,7 @@
   MHD_Daemon* daemon_ = nullptr;
   std::atomic<std::int64_t> active_{0};
   std::atomic<bool> draining_{false};
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable wake_;
   bool stopping_ = false;
   std::map<MHD_Connection*, WatchedConnection> connections_;
@@ -336,7 +379,19 @@
   return implementation_->Port();
 }
 
-auto HttpServer::StopAccepting() -> void { implementation_->StopAccepting(); }
+auto HttpServer::BeginDrain() -> void { implementation_->BeginDrain(); }
+
+auto HttpServer::StopAccepting() -> std::size_t {
+  return implementation_->StopAccepting();
+}
+
+auto HttpServer::CloseIdleConnections() -> void {
+  implementation_->CloseIdleConnections();
+}
+
+auto HttpServer::OpenConnections() const -> std::size_t {
+  return implementation_->OpenConnections();
+}
 
 auto HttpServer::ActiveRequests() const -> std::int64_t {
   return implementation_->ActiveRequests();
--- a/modules/frontend/http/http_server.h
+++ b/modules/frontend/http/http_server.h
@@ -43,12 +43,21 @@
   HttpServer(const HttpServer&) = delete;
   auto operator=(const HttpServer&) -> HttpServer& = delete;
   // Stops accepting and ends all connections at once. For a graceful stop call
-  // StopAccepting and wait for ActiveRequests to reach zero before.
+  // BeginDrain, StopAccepting and, without active requests,
+  // CloseIdleConnections until OpenConnections is zero before.
   ~HttpServer();
 
   auto Port() const -> std::uint16_t;
-  // Takes no new connections, and closes open ones after their next response.
-  auto StopAccepting() -> void;
+  // From now on every response closes its connection, so that callers turn to
+  // another server before this one closes connections by itself.
+  auto BeginDrain() -> void;
+  // Takes no new connections besides those that wait to be accepted. Open ones
+  // get one more response. Returns how many waiting connections were lost
+  // because this server has too many.
+  auto StopAccepting() -> std::size_t;
+  // Closes connections on which no request has arrived.
+  auto CloseIdleConnections() -> void;
+  auto OpenConnections() const -> std::size_t;
   // Requests whose response is not complete.
   auto ActiveRequests() const -> std::int64_t;
 
--- a/modules/frontend/tests/frontend_tests.cc
+++ b/modules/frontend/tests/frontend_tests.cc
@@ -195,6 +195,37 @@
   EXPECT_TRUE(caller.IsClosed());
 }
 
+// Guards against a stop that resets connections which the server has not
+// accepted yet.
+TEST_F(KeptConnectionTest, AnswersOnConnectionsThatWaitToBeAccepted) {
+  constexpr int kCallers = 100;
+  std::vector<std::unique_ptr<KeptConnection>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<KeptConnection>(server_->Port()));
+    callers.back()->Send(kGet);
+  }
+  server_->StopAccepting();
+  for (const auto& caller : callers) EXPECT_NE(caller->Receive(), "");
+}
+
+// Guards against a stop that ends while a request waits in the socket, and
+// against one that idle connections hold up.
+TEST_F(KeptConnectionTest, ClosesIdleConnectionsAfterWhatHasArrived) {
+  const KeptConnection idle(server_->Port());
+  const KeptConnection caller(server_->Port());
+  caller.Send(kGet);
+  ASSERT_NE(caller.Receive(), "");
+  server_->StopAccepting();
+  caller.Send(kGet);
+  while (server_->OpenConnections() > 0) {
+    server_->CloseIdleConnections();
+    std::this_thread::yield();
+  }
+  server_.reset();
+  EXPECT_NE(caller.Receive(), "");
+  EXPECT_TRUE(idle.IsClosed());
+}
+
 // Guards against a stop that closes a connection between the two halves of a
 // request.
 TEST_F(KeptConnectionTest, AnswersARequestOfWhichHalfArrivedBeforeTheStop) {
