--- a/daemon/state/shared_state.h
+++ b/daemon/state/shared_state.h
@@ -57,6 +57,8 @@
   Published<RoutingTable> routing;
   // Set while this daemon cannot tell whether its revision is current.
   std::atomic<bool> isolated{false};
+  // When the process is about to end and requests get their final answers.
+  std::atomic<Timestamp> final_answers_at{Timestamp::max()};
 
   std::mutex demand_mutex;
   DemandCounter demand;
