Answer every open request before the service manager ends the process

What callers saw: Drain() waited for requests without a bound, so a service manager whose grace period ended first killed the process under requests that waited for capacity, for an upstream or within a stream, and their connections closed without an answer.

Change: the setting stop_grace (default 90 s) tells the daemon how long it may run after the stop signal. 2 s before its end a request that has not been sent gets 503, not run, with Retry-After; one that may have run gets 502; a stream ends with an error event. What is still open 1 s before the end is logged.

Requests that run longer than 88 s after the stop signal were served to their end before if the service manager let them; they now need a larger stop_grace.

Open: a call with an Idempotency-Key that waits for its claim waits up to its deadline. A new request that cannot be served in the time left is not refused before that time comes.

--- a/daemon/app/daemon.cc
+++ b/daemon/app/daemon.cc
@@ -23,6 +23,10 @@
 constexpr Duration kStatusInterval = std::chrono::milliseconds(200);
 constexpr Duration kDemandInterval = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
+// Before the end of stop_grace: for the last answers to reach their callers.
+constexpr Duration kFinalAnswerTime = std::chrono::seconds(2);
+// Of that, for the process to end after its last answer.
+constexpr Duration kStopReserve = std::chrono::seconds(1);
 
 auto ReadSecretFile(const std::string& path) -> Result<std::string> {
   std::ifstream file(path);
@@ -103,20 +107,29 @@
   }
 
   auto Drain() -> void {
+    const auto begin = MonotonicNow();
+    const auto end = begin + settings_.stop_grace - kStopReserve;
+    state_.final_answers_at = begin + settings_.stop_grace - kFinalAnswerTime;
     draining_ = true;
     LogState(LogSeverity::kInfo, "draining");
     callers_->BeginDrain();
     hub_->Leave();
-    std::this_thread::sleep_for(settings_.drain);
+    std::this_thread::sleep_until(std::min<Timestamp>(
+        begin + settings_.drain, state_.final_answers_at.load()));
     if (const auto lost = callers_->StopAccepting(); lost > 0) {
       LogState(LogSeverity::kWarning,
                "callers' connections closed at the stop: " +
                    std::to_string(lost) + "; raise limits.connections");
     }
-    while (callers_->OpenConnections() > 0) {
+    while (callers_->OpenConnections() > 0 && MonotonicNow() < end) {
       if (callers_->ActiveRequests() == 0) callers_->CloseIdleConnections();
       std::this_thread::sleep_for(kDrainPoll);
     }
+    if (const auto open = callers_->ActiveRequests(); open > 0) {
+      LogState(LogSeverity::kWarning,
+               "requests open at the end of stop_grace: " +
+                   std::to_string(open) + "; raise stop_grace");
+    }
     LogState(LogSeverity::kInfo, "drained");
   }
 
--- a/daemon/state/shared_state.h
+++ b/daemon/state/shared_state.h
@@ -59,6 +59,9 @@
   std::atomic<bool> isolated{false};
   // When the process is about to end and requests get their final answers.
   std::atomic<Timestamp> final_answers_at{Timestamp::max()};
+  auto MustAnswerNow() const -> bool {
+    return MonotonicNow() >= final_answers_at.load();
+  }
 
   std::mutex demand_mutex;
   DemandCounter demand;
--- a/daemon/traffic/attempt_policy.cc
+++ b/daemon/traffic/attempt_policy.cc
@@ -37,12 +37,27 @@
   if (error.kind == ErrorKind::kProtocol) {
     state.metrics.Count(Event::kCrossedResponse);
   }
+  if (failure.ran != Ran::kNo && state.MustAnswerNow()) {
+    failure.error = {ErrorKind::kOutcomeUnknown,
+                     "this instance stops before the upstream has answered",
+                     "find out whether the request ran before repeating it"};
+    return failure;
+  }
   if (error.kind == ErrorKind::kDeadlineExceeded) {
     state.metrics.Count(Event::kSilentConnection);
   }
   return failure;
 }
 
+auto StoppingFailure() -> RequestFailure {
+  RequestFailure failure;
+  failure.reason = "process_stopping";
+  failure.error = {ErrorKind::kUnavailable,
+                   "this instance stops before the request could be started",
+                   "retry; the load balancer will choose another instance"};
+  return failure;
+}
+
 auto NotTakenFailure(const UpstreamId& upstream) -> RequestFailure {
   RequestFailure failure;
   failure.error = {ErrorKind::kUnavailable,
@@ -54,6 +69,7 @@
 
 auto WaitForRetry(SharedState& state, const RequestContext& context,
                   int retries, const CallerConnection& caller) -> bool {
+  if (state.MustAnswerNow()) return false;
   RetryDecision decision;
   {
     const std::lock_guard lock(state.retry_mutex);
--- a/daemon/traffic/attempt_policy.h
+++ b/daemon/traffic/attempt_policy.h
@@ -30,6 +30,10 @@
 auto ExchangeFailure(SharedState& state, const Error& error, Delivery delivery)
     -> RequestFailure;
 
+// The failure of a request that no attempt was made for, or none that can have
+// run, before the process ends.
+auto StoppingFailure() -> RequestFailure;
+
 // The failure of an attempt that the upstream stated not to have executed.
 auto NotTakenFailure(const UpstreamId& upstream) -> RequestFailure;
 
--- a/daemon/traffic/completion_call.cc
+++ b/daemon/traffic/completion_call.cc
@@ -75,8 +75,12 @@
   if (!adapter.Empty()) body_ = ReplaceModel(body_, model);
 }
 
+auto CompletionCall::GivesUp() const -> bool {
+  return caller_.IsClosed() || state_.MustAnswerNow();
+}
+
 auto CompletionCall::IsCancelled() const -> bool {
-  return caller_.IsClosed() || !dispatcher_.MayServe(dispatch_->slot);
+  return GivesUp() || !dispatcher_.MayServe(dispatch_->slot);
 }
 
 auto CompletionCall::WaitForCapacity() -> std::optional<RequestFailure> {
@@ -91,14 +95,16 @@
   const auto outcome = state_.gate.Wait(
       routing_.model, queued,
       [this] { return dispatcher_.HasCapacity(routing_.model); },
-      [this] { return caller_.IsClosed(); });
+      [this] { return GivesUp(); });
   state_.metrics.ObserveQueueWait(context_.account.Value(),
                                   ClassName(context_.priority),
                                   MonotonicNow() - context_.arrival);
   if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
     return RefusalFailure(*refusal);
   }
-  if (std::holds_alternative<CallerGone>(outcome)) return CallerGoneFailure();
+  if (std::holds_alternative<CallerGone>(outcome)) {
+    return caller_.IsClosed() ? CallerGoneFailure() : StoppingFailure();
+  }
   return std::nullopt;
 }
 
@@ -138,7 +144,7 @@
   auto dispatch = dispatcher_.Engine(routing_);
   while (!dispatch &&
          dispatch.error() == NoUpstreamReason::kConcurrencyLimitReached &&
-         MonotonicNow() < context_.deadline && !caller_.IsClosed()) {
+         MonotonicNow() < context_.deadline && !GivesUp()) {
     std::this_thread::sleep_for(kNoPlaceWait);
     dispatch = dispatcher_.Engine(routing_);
   }
@@ -225,7 +231,7 @@
     std::string body;
     while (true) {
       auto progress = exchange_->Read(state_.timeouts.progress,
-                                      [this] { return caller_.IsClosed(); });
+                                      [this] { return GivesUp(); });
       if (!progress) break;
       if (const auto* part = std::get_if<BodyPart>(&*progress)) {
         if (body.empty()) NoteToken();
@@ -306,8 +312,8 @@
       Finish("ok");
       return BodyEnd{};
     }
-    auto progress = exchange_->Read(state_.timeouts.progress,
-                                    [this] { return caller_.IsClosed(); });
+    auto progress =
+        exchange_->Read(state_.timeouts.progress, [this] { return GivesUp(); });
     if (progress && std::holds_alternative<BodyPart>(*progress)) {
       auto bytes =
           TakeEvents(parser_.Feed(std::get<BodyPart>(*progress).bytes));
@@ -320,7 +326,8 @@
       continue;
     }
     if (caller_.IsClosed()) return BodyAbort{};
-    if (!progress && progress.error().kind == ErrorKind::kDeadlineExceeded) {
+    if (!progress && !state_.MustAnswerNow() &&
+        progress.error().kind == ErrorKind::kDeadlineExceeded) {
       state_.metrics.Count(Event::kSilentConnection);
     }
     // A body that ends without the end marker is cut off as well.
@@ -338,7 +345,7 @@
   exchange_.reset();
   routing_.excluded.push_back(dispatch_->upstream);
   EndAttempt();
-  if (attempts_ >= kMaxAttempts || caller_.IsClosed() || !TakeResume()) {
+  if (attempts_ >= kMaxAttempts || GivesUp() || !TakeResume()) {
     return false;
   }
   const auto head = BeginAttempts();
--- a/daemon/traffic/completion_call.h
+++ b/daemon/traffic/completion_call.h
@@ -55,6 +55,8 @@
   auto TakeResume() -> bool;
   auto EndWithError(const Error& error) -> BodyStep;
   auto Finish(const std::string& outcome) -> void;
+  // Whether there is nobody to answer, or no time left to.
+  auto GivesUp() const -> bool;
   auto IsCancelled() const -> bool;
   auto NoteToken() -> void;
 
--- a/daemon/traffic/service_call.cc
+++ b/daemon/traffic/service_call.cc
@@ -60,10 +60,11 @@
     -> tl::expected<HttpResponse, RequestFailure> {
   std::string body;
   while (true) {
-    auto progress = exchange.Read(state_.timeouts.progress);
+    auto progress = exchange.Read(state_.timeouts.progress,
+                                  [this] { return state_.MustAnswerNow(); });
     if (!progress) {
       RequestFailure failure;
-      failure.error = progress.error();
+      failure = ExchangeFailure(state_, progress.error(), exchange.State());
       failure.ran = Ran::kUnknown;
       return tl::unexpected(std::move(failure));
     }
@@ -86,7 +87,8 @@
   auto dispatch = dispatcher_.Service(request_.pool, excluded_);
   while (!dispatch &&
          dispatch.error() == NoUpstreamReason::kConcurrencyLimitReached &&
-         MonotonicNow() < context_.deadline && !caller_.IsClosed()) {
+         MonotonicNow() < context_.deadline && !caller_.IsClosed() &&
+         !state_.MustAnswerNow()) {
     std::this_thread::sleep_for(kNoPlaceWait);
     dispatch = dispatcher_.Service(request_.pool, excluded_);
   }
@@ -103,10 +105,12 @@
   // A call that may not be repeated is not given up when its caller leaves:
   // closing the connection would not undo it.
   const CancelCheck cancelled =
-      request_.idempotent ? CancelCheck([this, slot = dispatch->slot] {
-        return caller_.IsClosed() || !dispatcher_.MayServe(slot);
-      })
-                          : CancelCheck();
+      request_.idempotent
+          ? CancelCheck([this, slot = dispatch->slot] {
+              return caller_.IsClosed() || !dispatcher_.MayServe(slot) ||
+                     state_.MustAnswerNow();
+            })
+          : CancelCheck([this] { return state_.MustAnswerNow(); });
   auto head = exchange->Begin(BuildCall(dispatch->target), limit, cancelled);
   if (!head) {
     return tl::unexpected(
--- a/modules/settings/model/daemon_settings.h
+++ b/modules/settings/model/daemon_settings.h
@@ -90,6 +90,8 @@
   // How long a leaving daemon keeps listening until the load balancer has
   // noticed.
   Duration drain = std::chrono::seconds(5);
+  // How long after the stop signal the supervisor lets the process run.
+  Duration stop_grace = std::chrono::seconds(90);
 };
 
 }  // namespace dotterellug
--- a/modules/settings/table/setting_fields.h
+++ b/modules/settings/table/setting_fields.h
@@ -23,6 +23,8 @@
 inline constexpr DurationRule kHeaderTimeoutRule{std::chrono::milliseconds(100),
                                                  std::chrono::minutes(5)};
 inline constexpr DurationRule kDrainRule{Duration(0), std::chrono::minutes(10)};
+inline constexpr DurationRule kStopGraceRule{std::chrono::seconds(5),
+                                             std::chrono::hours(2)};
 
 template <typename Visitor>
 auto VisitTlsFiles(Visitor& visitor, TlsSettings& tls) -> void {
@@ -123,6 +125,10 @@
   visitor.Optional("drain", kDrainRule, settings.drain,
                    "how long a leaving daemon keeps listening until the load "
                    "balancer has noticed");
+  visitor.Optional("stop_grace", kStopGraceRule, settings.stop_grace,
+                   "how long after the stop signal the service manager lets "
+                   "the process run; requests still open get their answer 2 s "
+                   "before");
 }
 
 }  // namespace dotterellug
