Keep the order lease while a stopping holder can still order

Cause: the holder gave up the order lease at its stop signal, up to 7.6 s before its process ended, and a successor may order only 1.05 TTL later; it was often stopped within that time. Besides, a release while a renewal was in progress carried an outdated revision and was refused, so that the successor waited for the lease to expire.

Change: OrderLease::Stop replaces Release. A stopping daemon acquires the lease no more; a holder goes on ordering until 0.8 s before its process must end, or until its requests have ended, and then releases through Next, one call at a time. The process waits for the reply to the release for up to 0.8 s. A holder that is stopped while it waits for its first order also keeps the lease. The number of store calls does not grow with the number of handovers, which falls.

Why orders of two holders stay a TTL apart: no order leaves after the release time, also in a process that was paused over it, and the successor's wait after a release is unchanged. LeaseSimulation now stops and replaces daemons, with release times up to 5 s ahead and processes that end before the release is written.

--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -24,6 +24,9 @@
 constexpr auto kStopReserve = std::chrono::milliseconds(400);
 // Before that, time to send the final answers to requests that are still open.
 constexpr auto kFinalAnswerTime = std::chrono::milliseconds(250);
+// Time to release the order lease before the process ends; covers a slow write
+// to the store.
+constexpr auto kReleaseTime = std::chrono::milliseconds(800);
 // A pause of the event loop, or a change of the time of day, that is worth a
 // log line: longer than a few ticks.
 constexpr auto kStall = std::chrono::milliseconds(400);
@@ -384,7 +387,7 @@
   context_.final_answers_at =
       drain_started_ + LongestDrain() - kFinalAnswerTime;
   callers_.BeginDrain();
-  orders_.Stop();
+  orders_.Stop(LongestDrain() - kReleaseTime);
   context_.log.Write(EventRank::kState, "stopping")
       .Add("open_requests",
            static_cast<std::int64_t>(context_.open_requests.size()));
@@ -403,6 +406,7 @@
   // Repeated until the end, for requests that are read meanwhile.
   if (now >= *context_.final_answers_at) context_.AnswerOpenRequests();
   if (callers_.BusySessions() > 0 && age < longest) return;
+  if (!OrdersStopped(now) && age < longest) return;
   context_.LogBrokenRequests();
   context_.log.Write(EventRank::kState, "stopped")
       .Add("open_requests",
@@ -412,4 +416,13 @@
   context_.loop.stop();
 }
 
+auto Gateway::OrdersStopped(Timestamp now) -> bool {
+  if (!orders_stopped_at_) {
+    orders_stopped_at_ = now;
+    orders_.Stop(Duration::zero());
+    orders_.Tick();
+  }
+  return orders_.Stopped() || now - *orders_stopped_at_ >= kReleaseTime;
+}
+
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -61,6 +61,8 @@
   // How long after the stop signal the process may run.
   auto LongestDrain() const -> Duration;
   auto FinishDrain() -> void;
+  // Whether the order lease is released, or there is no time left for that.
+  auto OrdersStopped(Timestamp now) -> bool;
 
   GatewayContext context_;
   FleetNode fleet_;
@@ -79,6 +81,8 @@
   // Whether this daemon reads the list of upstreams from the store itself.
   bool following_ = true;
   Timestamp drain_started_{};
+  // When the order lease was released because all requests had ended.
+  std::optional<Timestamp> orders_stopped_at_;
   // When to write the registration unless the list of members shows it.
   Timestamp registration_due_{};
   Timestamp swept_at_{};
--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -81,7 +81,7 @@
       started_at_(MonotonicNow()) {}
 
 auto OrderDesk::Tick() -> void {
-  if (stopped_ || !context_.catalog) return;
+  if (!context_.catalog) return;
   const auto now = MonotonicNow();
   StepLease(now);
   SetLeading(lease_.FenceForOrder(SuspendAwareNow()).has_value());
@@ -97,13 +97,8 @@
   RemoveSilentMembers(now);
 }
 
-auto OrderDesk::Stop() -> void {
-  stopped_ = true;
-  SetLeading(false);
-  if (const auto record = lease_.Release()) {
-    // Best effort: without it the next holder waits for the lease to lapse.
-    link_->write_lease(*record, [](const Result<std::int64_t>&) {});
-  }
+auto OrderDesk::Stop(Duration time) -> void {
+  lease_.Stop(SuspendAwareNow() + time);
 }
 
 auto OrderDesk::Contends(Timestamp now) const -> bool {
--- a/daemon/gateway/order_desk.h
+++ b/daemon/gateway/order_desk.h
@@ -30,8 +30,11 @@
 
   // Call about every 100 ms.
   auto Tick() -> void;
-  // Gives the right up; for a planned stop.
-  auto Stop() -> void;
+  // For a planned stop: gives the right up after `time`. Until then a holder
+  // goes on ordering, since a successor may order only a lease TTL later.
+  auto Stop(Duration time) -> void;
+  // Whether the right is given up and the store knows, as far as it answers.
+  auto Stopped() const -> bool { return lease_.Stopped(); }
   // Another daemon holds the lease and told the revision of its last write.
   auto OnLeaseAnnounced(std::int64_t revision) -> void {
     lease_.OnRenewalAnnounced(revision, SuspendAwareNow());
@@ -104,7 +107,6 @@
   RequestedAdapters wanted_adapters_;
   fleet::ModelAnnouncements announcements_;
   bool leading_ = false;
-  bool stopped_ = false;
   Timestamp started_at_;
   Timestamp leading_since_{};
   Timestamp planned_at_{};
--- a/modules/placement/lease/order_lease.cc
+++ b/modules/placement/lease/order_lease.cc
@@ -1,5 +1,7 @@
 #include "placement/lease/order_lease.h"
 
+#include <algorithm>
+
 namespace dotterellug {
 namespace {
 
@@ -14,7 +16,12 @@
 
 auto OrderLease::Next(bool contend, Timestamp now) -> Step {
   if (call_pending_) return Step::kNothing;
+  if (release_at_ && !is_holder_) return Step::kNothing;
   if (is_holder_ && !must_reread_) {
+    if (ReleaseDue(now)) {
+      PrepareRelease();
+      return Step::kWrite;
+    }
     if (now - renewed_at_ < OfTtl(times_.renew_fraction)) return Step::kNothing;
     PrepareWrite(record_.fence);
     write_started_at_ = now;
@@ -55,6 +62,14 @@
   proposal_ = {self_, fence, false, record_.revision};
 }
 
+// Whatever comes of the write, this daemon sends no more orders.
+auto OrderLease::PrepareRelease() -> void {
+  call_pending_ = true;
+  is_holder_ = false;
+  proposal_ = record_;
+  proposal_.released = true;
+}
+
 auto OrderLease::OnRead(const OrderLeaseRecord& record, Timestamp now) -> void {
   call_pending_ = false;
   must_reread_ = false;
@@ -82,6 +97,11 @@
 
 auto OrderLease::OnWritten(std::int64_t revision, Timestamp now) -> void {
   call_pending_ = false;
+  if (proposal_.released) {
+    record_ = proposal_;
+    record_.revision = revision;
+    return;
+  }
   if (!is_holder_) {
     // The delay also applies if the record names this daemon: it may come from
     // a write of its own whose reply was lost, or from an earlier process of
@@ -114,7 +134,8 @@
 
 auto OrderLease::FenceForOrder(Timestamp now) const
     -> std::optional<std::int64_t> {
-  if (!is_holder_ || now < orders_allowed_from_) return std::nullopt;
+  if (!is_holder_ || ReleaseDue(now)) return std::nullopt;
+  if (now < orders_allowed_from_) return std::nullopt;
   if (now - renewed_at_ >= OfTtl(times_.valid_fraction)) return std::nullopt;
   return record_.fence;
 }
@@ -124,12 +145,8 @@
   must_reread_ = true;
 }
 
-auto OrderLease::Release() -> std::optional<OrderLeaseRecord> {
-  if (!is_holder_) return std::nullopt;
-  is_holder_ = false;
-  auto record = record_;
-  record.released = true;
-  return record;
+auto OrderLease::Stop(Timestamp release_at) -> void {
+  release_at_ = std::min(release_at_.value_or(release_at), release_at);
 }
 
 }  // namespace dotterellug
--- a/modules/placement/lease/order_lease.h
+++ b/modules/placement/lease/order_lease.h
@@ -79,9 +79,14 @@
   auto FenceForOrder(Timestamp now) const -> std::optional<std::int64_t>;
   // An engine has seen a higher fencing number: another daemon holds the lease.
   auto OnFenced() -> void;
-  // Releases the lease at a planned stop. Returns the record that the caller
-  // writes to the store, or nullopt if this daemon is not the holder.
-  auto Release() -> std::optional<OrderLeaseRecord>;
+  // For a planned stop: this daemon no longer acquires the lease. If it is the
+  // holder, it goes on holding it until `release_at`; then Next returns the
+  // write that releases it. A second call can only make that earlier.
+  auto Stop(Timestamp release_at) -> void;
+  // Whether this daemon has nothing left to write after Stop.
+  auto Stopped() const -> bool {
+    return release_at_ && !is_holder_ && !call_pending_;
+  }
   // The holder named in the last known record, also if it released the lease;
   // empty if there is no record.
   auto Holder() const -> const InstanceId& { return record_.holder; }
@@ -92,6 +97,10 @@
     return FromSeconds(ToSeconds(times_.ttl) * fraction);
   }
   auto PrepareWrite(std::int64_t fence) -> void;
+  auto PrepareRelease() -> void;
+  auto ReleaseDue(Timestamp now) const -> bool {
+    return release_at_ && now >= *release_at_;
+  }
   auto MayAcquire(Timestamp now) const -> bool;
 
   InstanceId self_;
@@ -111,6 +120,8 @@
   Timestamp renewed_at_{};
   Timestamp orders_allowed_from_{};
   bool record_known_ = false;
+  // When this daemon releases the lease, if it is being stopped.
+  std::optional<Timestamp> release_at_;
 };
 
 }  // namespace dotterellug
--- a/modules/placement/tests/order_lease_tests.cc
+++ b/modules/placement/tests/order_lease_tests.cc
@@ -17,15 +17,19 @@
 
 // Simulates four daemons that share a lease in a store with conditional writes.
 // Replies of the store are late, lost although the write took effect, or
-// errors; the store goes down, and daemons pause, resume and lose their
-// connection.
+// errors; the store goes down, and daemons pause, resume, lose their
+// connection, and are stopped and replaced.
 class LeaseSimulation {
  public:
   LeaseSimulation(std::uint64_t seed, const OrderLeaseTiming& times)
-      : random_(seed) {
+      : random_(seed), times_(times) {
     for (int i = 0; i < 4; ++i) {
       daemons_.push_back(
-          {OrderLease(InstanceId("d" + std::to_string(i)), times), 0, 0});
+          {OrderLease(InstanceId("d" + std::to_string(i)), times),
+           0,
+           0,
+           0,
+           {}});
     }
   }
 
@@ -55,6 +59,10 @@
     OrderLease lease;
     double paused_until = 0;
     double disconnected_until = 0;
+    // Grows with each process of this daemon.
+    int process = 0;
+    // When the process ends, if it is being stopped.
+    std::optional<double> ends_at;
   };
 
   auto Step(std::size_t index) -> void {
@@ -66,6 +74,13 @@
       daemon.disconnected_until = now_ + random_.Uniform() * 8;
     }
     if (now_ < daemon.paused_until) return;
+    if (random_.Below(400) == 0) BeginStop(daemon);
+    if (daemon.ends_at && now_ >= *daemon.ends_at) {
+      daemon.lease =
+          OrderLease(InstanceId("d" + std::to_string(index)), times_);
+      ++daemon.process;
+      daemon.ends_at.reset();
+    }
     SendOrderIfAllowed(index);
     switch (daemon.lease.Next(true, At(now_))) {
       case OrderLease::Step::kNothing:
@@ -77,6 +92,14 @@
     }
   }
 
+  // The process may end before the release is written.
+  auto BeginStop(SimulatedDaemon& daemon) -> void {
+    if (daemon.ends_at) return;
+    const auto release_at = now_ + random_.Uniform() * 5;
+    daemon.lease.Stop(At(release_at));
+    daemon.ends_at = release_at + random_.Uniform();
+  }
+
   auto SendOrderIfAllowed(std::size_t index) -> void {
     const auto fence = daemons_[index].lease.FenceForOrder(At(now_));
     if (!fence) return;
@@ -124,7 +147,9 @@
     const bool failed = !Reachable(index);
     const auto record = record_;
     const auto delay = 0.004 + random_.Uniform() * 0.3;
-    Schedule(index, delay, [this, index, failed, record] {
+    const auto process = daemons_[index].process;
+    Schedule(index, delay, [this, index, failed, record, process] {
+      if (daemons_[index].process != process) return;
       if (failed) {
         daemons_[index].lease.OnReadFailed(At(now_));
       } else {
@@ -136,8 +161,10 @@
   auto Write(std::size_t index) -> void {
     const auto proposal = daemons_[index].lease.Proposal();
     const auto delay = 0.004 + random_.Uniform() * 0.3;
+    const auto process = daemons_[index].process;
     if (!Reachable(index)) {
-      return Schedule(index, delay, [this, index] {
+      return Schedule(index, delay, [this, index, process] {
+        if (daemons_[index].process != process) return;
         daemons_[index].lease.OnWriteFailed(At(now_));
       });
     }
@@ -155,7 +182,8 @@
     }
     const bool applied = !applied_late && apply();
     const auto revision = record_.revision;
-    Schedule(index, delay, [this, index, reply_lost, applied, revision] {
+    Schedule(index, delay, [=] {
+      if (daemons_[index].process != process) return;
       auto& lease = daemons_[index].lease;
       if (reply_lost) return lease.OnWriteFailed(At(now_));
       if (!applied) return lease.OnConflict(At(now_));
@@ -164,6 +192,7 @@
   }
 
   Random random_;
+  OrderLeaseTiming times_;
   std::vector<SimulatedDaemon> daemons_;
   std::deque<std::pair<double, std::function<void()>>> events_;
   OrderLeaseRecord record_;
@@ -265,6 +294,52 @@
   EXPECT_FALSE(lease.FenceForOrder(At(0.1)));
 }
 
+// Makes `lease` the holder of a record that did not exist before.
+auto Acquire(OrderLease& lease, double at) -> void {
+  ASSERT_EQ(lease.Next(true, At(at)), OrderLease::Step::kRead);
+  lease.OnRead({}, At(at));
+  ASSERT_EQ(lease.Next(true, At(at)), OrderLease::Step::kWrite);
+  lease.OnWritten(5, At(at));
+}
+
+TEST(OrderLeaseTest, StoppingHolderSendsOrdersUntilItReleasesTheLease) {
+  OrderLease lease(InstanceId("a"), {});
+  Acquire(lease, 0);
+  lease.Stop(At(1.2));
+  EXPECT_TRUE(lease.FenceForOrder(At(0.9)));
+  ASSERT_EQ(lease.Next(false, At(1)), OrderLease::Step::kWrite);
+  EXPECT_FALSE(lease.Proposal().released);
+  lease.OnWritten(6, At(1.1));
+  EXPECT_FALSE(lease.FenceForOrder(At(1.2)));
+  ASSERT_EQ(lease.Next(false, At(1.2)), OrderLease::Step::kWrite);
+  EXPECT_TRUE(lease.Proposal().released);
+  EXPECT_FALSE(lease.Stopped());
+  lease.OnWritten(7, At(1.3));
+  EXPECT_TRUE(lease.Stopped());
+  EXPECT_FALSE(lease.FenceForOrder(At(1.3)));
+}
+
+// Guards against a release that fails because a renewal is in progress, so that
+// the successor waits until the lease expires.
+TEST(OrderLeaseTest, ReleaseWaitsForARenewalInProgress) {
+  OrderLease lease(InstanceId("a"), {});
+  Acquire(lease, 0);
+  ASSERT_EQ(lease.Next(false, At(1)), OrderLease::Step::kWrite);
+  lease.Stop(At(1));
+  EXPECT_EQ(lease.Next(false, At(1)), OrderLease::Step::kNothing);
+  lease.OnWritten(6, At(1.1));
+  ASSERT_EQ(lease.Next(false, At(1.1)), OrderLease::Step::kWrite);
+  EXPECT_TRUE(lease.Proposal().released);
+  EXPECT_EQ(lease.Proposal().revision, 6);
+}
+
+TEST(OrderLeaseTest, StoppingDaemonDoesNotAcquireTheLease) {
+  OrderLease lease(InstanceId("a"), {});
+  lease.Stop(At(5));
+  EXPECT_EQ(lease.Next(true, At(1)), OrderLease::Step::kNothing);
+  EXPECT_TRUE(lease.Stopped());
+}
+
 TEST(OrderLeaseTest, DelaysOrdersAfterTakingOverAReleasedLease) {
   OrderLease lease(InstanceId("a"), {});
   lease.Next(true, At(0));
--- a/modules/placement/tests/rolling_restart_tests.cc
+++ b/modules/placement/tests/rolling_restart_tests.cc
@@ -23,6 +23,8 @@
 constexpr double kRestartBegins = 10;
 constexpr double kBetweenSignals = 0.27;
 constexpr double kRestartEnds = kRestartBegins + kDaemons * kBetweenSignals;
+// A holder releases the lease this long before its process ends.
+constexpr double kReleaseTime = 0.8;
 // From the end of a process until its successor runs.
 constexpr double kBoot = 0.7;
 // Daemons hear of the holder by reports at this interval.
@@ -109,7 +111,6 @@
     }
     if (daemon.ends_at && now_ >= *daemon.ends_at) return End(daemon);
     SendOrderIfAllowed(daemon);
-    if (daemon.ends_at) return;
     Call(daemon, daemon.lease->Next(Contends(daemon), At(now_)));
   }
 
@@ -117,7 +118,7 @@
     daemon.signal_at = 0;
     daemon.ends_at = now_ + shortest_stop_ +
                      random_.Uniform() * (longest_stop_ - shortest_stop_);
-    if (const auto record = daemon.lease->Release()) Write(daemon, *record);
+    daemon.lease->Stop(At(*daemon.ends_at - kReleaseTime));
   }
 
   auto End(Daemon& daemon) -> void {
