Count the order lease's takeover delay over holders that sent no order

Cause: the wait after a release began anew with each successor, also if the one before had sent no order. A process whose requests have ended stops 2.6 s after its signal, before its first order.

Change: a holder that releases the lease before it might order writes into the record what is left of its wait (orderDelayMs); its successor waits for so long from its own write. Without the field, as from a holder that ordered or an older daemon, the wait is whole. Older daemons ignore the field. No store call is added.

Why it is safe: the rest is taken before the release is written, and counted from after the acquiring write. After a record that was not released, it is 1.05 TTL from the acquisition, since an earlier process of the same daemon may have ordered until then.

--- a/modules/placement/lease/order_lease.cc
+++ b/modules/placement/lease/order_lease.cc
@@ -19,7 +19,7 @@
   if (release_at_ && !is_holder_) return Step::kNothing;
   if (is_holder_ && !must_reread_) {
     if (ReleaseDue(now)) {
-      PrepareRelease();
+      PrepareRelease(now);
       return Step::kWrite;
     }
     if (now - renewed_at_ < OfTtl(times_.renew_fraction)) return Step::kNothing;
@@ -63,11 +63,15 @@
 }
 
 // Whatever comes of the write, this daemon sends no more orders.
-auto OrderLease::PrepareRelease() -> void {
+auto OrderLease::PrepareRelease(Timestamp now) -> void {
   call_pending_ = true;
   is_holder_ = false;
   proposal_ = record_;
   proposal_.released = true;
+  // Orders that might have begun before `now` count as sent.
+  if (now < orders_allowed_from_) {
+    proposal_.order_delay = successor_allowed_from_ - now;
+  }
 }
 
 auto OrderLease::OnRead(const OrderLeaseRecord& record, Timestamp now) -> void {
@@ -108,11 +112,14 @@
     // this daemon, shortly after the last order of another holder. No delay is
     // needed only if there was no record.
     const bool no_record = record_.revision == 0;
-    const auto takeover_delay_fraction =
-        record_.released ? kTakeoverDelayAfterReleaseFraction
-                         : times_.takeover_delay_fraction;
-    orders_allowed_from_ =
-        no_record ? now : now + OfTtl(takeover_delay_fraction);
+    const auto takeover_delay = record_.released
+                                    ? DelayAfterRelease()
+                                    : OfTtl(times_.takeover_delay_fraction);
+    orders_allowed_from_ = no_record ? now : now + takeover_delay;
+    // An earlier process of this daemon may have sent orders until now.
+    successor_allowed_from_ =
+        now + (record_.released ? takeover_delay
+                                : OfTtl(kTakeoverDelayAfterReleaseFraction));
   }
   is_holder_ = true;
   renewed_at_ = write_started_at_;
@@ -122,6 +129,11 @@
   record_known_ = true;
 }
 
+auto OrderLease::DelayAfterRelease() const -> Duration {
+  const auto whole = OfTtl(kTakeoverDelayAfterReleaseFraction);
+  return std::min(record_.order_delay.value_or(whole), whole);
+}
+
 auto OrderLease::OnConflict(Timestamp) -> void {
   call_pending_ = false;
   must_reread_ = true;
--- a/modules/placement/lease/order_lease.h
+++ b/modules/placement/lease/order_lease.h
@@ -18,6 +18,10 @@
   bool released = false;
   // Version of the stored object; 0 if there is none.
   std::int64_t revision = 0;
+  // In a released record: how long after acquiring the lease its successor may
+  // send no order. nullopt is the whole time, as after an order just before the
+  // release; it is less if the holder sent none.
+  std::optional<Duration> order_delay{};
 };
 
 // Timing of the lease; the fractions are of its TTL. Together they ensure that
@@ -97,11 +101,13 @@
     return FromSeconds(ToSeconds(times_.ttl) * fraction);
   }
   auto PrepareWrite(std::int64_t fence) -> void;
-  auto PrepareRelease() -> void;
+  auto PrepareRelease(Timestamp now) -> void;
   auto ReleaseDue(Timestamp now) const -> bool {
     return release_at_ && now >= *release_at_;
   }
   auto MayAcquire(Timestamp now) const -> bool;
+  // The delay of orders after acquiring a released record.
+  auto DelayAfterRelease() const -> Duration;
 
   InstanceId self_;
   OrderLeaseTiming times_;
@@ -119,6 +125,8 @@
   Timestamp write_started_at_{};
   Timestamp renewed_at_{};
   Timestamp orders_allowed_from_{};
+  // The same for a successor, if this daemon sends no order.
+  Timestamp successor_allowed_from_{};
   bool record_known_ = false;
   // When this daemon releases the lease, if it is being stopped.
   std::optional<Timestamp> release_at_;
--- a/modules/placement/tests/order_lease_tests.cc
+++ b/modules/placement/tests/order_lease_tests.cc
@@ -333,6 +333,50 @@
   EXPECT_EQ(lease.Proposal().revision, 6);
 }
 
+// Acquires the lease at time 0 from `record`, stops at once, and returns the
+// record that is written 1 s later.
+auto ReleaseWithoutOrders(const OrderLeaseRecord& record) -> OrderLeaseRecord {
+  OrderLease lease(InstanceId("a"), {});
+  lease.Next(true, At(0));
+  lease.OnRead(record, At(0));
+  EXPECT_EQ(lease.Next(true, At(0)), OrderLease::Step::kWrite);
+  lease.OnWritten(10, At(0));
+  lease.Stop(At(1));
+  EXPECT_EQ(lease.Next(false, At(1)), OrderLease::Step::kWrite);
+  return lease.Proposal();
+}
+
+// Guards against a chain of holders that are stopped before their first order
+// and each of whose successors waits for the whole delay.
+TEST(OrderLeaseTest, HolderWithoutOrdersPassesOnTheRestOfItsDelay) {
+  const OrderLeaseRecord first{InstanceId("b"), 4, true, 9, {}};
+  auto released = ReleaseWithoutOrders(first);
+  ASSERT_TRUE(released.order_delay);
+  EXPECT_NEAR(ToSeconds(*released.order_delay), 2.15, 0.001);
+  released.revision = 11;
+  released = ReleaseWithoutOrders(released);
+  ASSERT_TRUE(released.order_delay);
+  EXPECT_NEAR(ToSeconds(*released.order_delay), 1.15, 0.001);
+}
+
+// Guards against orders too soon after those of an earlier process of a holder,
+// whose record the new process acquires and releases without orders.
+TEST(OrderLeaseTest, CoversOrdersOfAnEarlierProcessOfTheHolder) {
+  const auto released =
+      ReleaseWithoutOrders({InstanceId("a"), 4, false, 9, {}});
+  ASSERT_TRUE(released.order_delay);
+  EXPECT_GE(ToSeconds(*released.order_delay), kTtlSeconds - 1);
+}
+
+// Guards against a successor that orders within a TTL of the holder's orders.
+TEST(OrderLeaseTest, HolderWithOrdersPassesOnTheWholeDelay) {
+  OrderLease lease(InstanceId("a"), {});
+  Acquire(lease, 0);
+  lease.Stop(At(0.1));
+  ASSERT_EQ(lease.Next(false, At(0.1)), OrderLease::Step::kWrite);
+  EXPECT_FALSE(lease.Proposal().order_delay);
+}
+
 TEST(OrderLeaseTest, StoppingDaemonDoesNotAcquireTheLease) {
   OrderLease lease(InstanceId("a"), {});
   lease.Stop(At(5));
