--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -24,6 +24,9 @@
 constexpr auto kStopReserve = std::chrono::milliseconds(400);
 // Time before that in which the final answers to open requests are sent.
 constexpr auto kFinalAnswerTime = std::chrono::milliseconds(250);
+// Time to release the order lease before the process ends; covers a slow write
+// to the store.
+constexpr auto kReleaseTime = std::chrono::milliseconds(800);
 // A pause of the event loop, or a change of the time of day, that is worth a
 // log line: longer than a few ticks.
 constexpr auto kStall = std::chrono::milliseconds(400);
@@ -384,7 +387,7 @@
   context_.final_answers_at =
       drain_started_ + LongestDrain() - kFinalAnswerTime;
   callers_.BeginDrain();
-  orders_.Stop();
+  orders_.Stop(LongestDrain() - kReleaseTime);
   context_.log.Write(EventRank::kState, "stopping")
       .Add("open_requests",
            static_cast<std::int64_t>(context_.open_requests->size()));
@@ -408,6 +411,7 @@
     if (!std::exchange(final_answers_given_, true)) return;
   }
   if (callers_.BusySessions() > 0 && age < LongestDrain()) return;
+  if (!OrdersStopped(now) && age < LongestDrain()) return;
   context_.LogBrokenRequests();
   context_.log.Write(EventRank::kState, "stopped")
       .Add("open_requests",
@@ -417,4 +421,13 @@
   context_.loop.stop();
 }
 
+auto Gateway::OrdersStopped(Timestamp now) -> bool {
+  if (!orders_stopped_at_) {
+    orders_stopped_at_ = now;
+    orders_.Stop(Duration::zero());
+    orders_.Tick();
+  }
+  return orders_.Stopped() || now - *orders_stopped_at_ >= kReleaseTime;
+}
+
 }  // namespace dotterellug::gateway
--- a/modules/placement/lease/order_lease.h
+++ b/modules/placement/lease/order_lease.h
@@ -18,6 +18,10 @@
   bool released = false;
   // Version of the stored object; 0 if there is none.
   std::int64_t revision = 0;
+  // In a released record: how long after acquiring the lease its successor may
+  // send no order. nullopt is the whole time, as after an order just before the
+  // release; it is less if the holder sent none.
+  std::optional<Duration> order_delay{};
 };
 
 // Timing of the lease; the fractions are of its TTL. Together they ensure that
@@ -79,9 +83,14 @@
   auto FenceForOrder(Timestamp now) const -> std::optional<std::int64_t>;
   // An engine has seen a higher fencing number: another daemon holds the lease.
   auto OnFenced() -> void;
-  // Releases the lease at a planned stop. Returns the record that the caller
-  // writes to the store, or nullopt if this daemon is not the holder.
-  auto Release() -> std::optional<OrderLeaseRecord>;
+  // For a planned stop: this daemon no longer acquires the lease. If it is the
+  // holder, it goes on holding it until `release_at`; then Next returns the
+  // write that releases it. A second call can only make that earlier.
+  auto Stop(Timestamp release_at) -> void;
+  // Whether this daemon has nothing left to write after Stop.
+  auto Stopped() const -> bool {
+    return release_at_ && !is_holder_ && !call_pending_;
+  }
   // The holder named in the last known record, also if it released the lease;
   // empty if there is no record.
   auto Holder() const -> const InstanceId& { return record_.holder; }
@@ -92,7 +101,13 @@
     return FromSeconds(ToSeconds(times_.ttl) * fraction);
   }
   auto PrepareWrite(std::int64_t fence) -> void;
+  auto PrepareRelease(Timestamp now) -> void;
+  auto ReleaseDue(Timestamp now) const -> bool {
+    return release_at_ && now >= *release_at_;
+  }
   auto MayAcquire(Timestamp now) const -> bool;
+  // The delay of orders after acquiring a released record.
+  auto DelayAfterRelease() const -> Duration;
 
   InstanceId self_;
   OrderLeaseTiming times_;
@@ -110,7 +125,11 @@
   Timestamp write_started_at_{};
   Timestamp renewed_at_{};
   Timestamp orders_allowed_from_{};
+  // The same for a successor, if this daemon sends no order.
+  Timestamp successor_allowed_from_{};
   bool record_known_ = false;
+  // When this daemon releases the lease, if it is being stopped.
+  std::optional<Timestamp> release_at_;
 };
 
 }  // namespace dotterellug
