--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -17,6 +17,9 @@
 // One that was written is shown by the watch of members within this time, also
 // if that is deaf for a moment.
 constexpr auto kRegistrationShown = std::chrono::seconds(3);
+// A stop has these steps: accepting ends, open requests get their final
+// answers, the process ends.
+//
 // After the stop signal the balancer goes on sending new connections until it
 // has seen two answers that this daemon is not ready, a second apart.
 constexpr auto kStopAccepting = std::chrono::milliseconds(2600);
--- a/daemon/traffic/service_call.cc
+++ b/daemon/traffic/service_call.cc
@@ -63,8 +63,8 @@
     auto progress = exchange.Read(state_.timeouts.progress,
                                   [this] { return state_.MustAnswerNow(); });
     if (!progress) {
-      RequestFailure failure;
-      failure = ExchangeFailure(state_, progress.error(), exchange.State());
+      auto failure =
+          ExchangeFailure(state_, progress.error(), exchange.State());
       failure.ran = Ran::kUnknown;
       return tl::unexpected(std::move(failure));
     }
