Log how far an attempt was when its upstream broke the connection

Each broken attempt now has a line with the upstream's process, the events it had delivered and the shared parts of the prompt. No decision changes.

--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -390,6 +390,7 @@
   attempt_->prefill_tokens = UncachedPromptTokens(request_);
   upstream->prefill_tokens += attempt_->prefill_tokens;
   attempt_->sent_at = now;
+  attempt_->events_before = events_.EventCount();
   attempt_->connection = context_.connections.Acquire(
       upstream->record.address,
       Repeatable() ? Duration(kMaxIdle) : Duration(kOnceMaxIdle));
@@ -636,7 +637,14 @@
   const auto now = MonotonicNow();
   const auto upstream = attempt_->upstream;
   const bool unsent = end == ExchangeEnd::kNotSent;
-  if (unsent) --ran_;
+  if (unsent) {
+    --ran_;
+  } else {
+    trace_.BrokenOff(
+        request_,
+        {upstream->record.id, upstream->record.started_ms, attempt_->sent_at,
+         attempt_->status, events_.EventCount() - attempt_->events_before});
+  }
   if (end == ExchangeEnd::kNotSent || end == ExchangeEnd::kNoResponse) {
     const bool known = upstream->Suspected(now);
     upstream->RecordUnreachable(now);
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -48,6 +48,8 @@
     UpstreamAnswer answer;
     bool head_seen = false;
     bool first_event_seen = false;
+    // Complete events of the stream before this attempt.
+    std::int64_t events_before = 0;
     // Part of the upstream's unread prompt tokens until its first event.
     std::int64_t prefill_tokens = 0;
     // The answer is not passed on; another attempt follows when it has ended.
--- a/daemon/gateway/request_trace.cc
+++ b/daemon/gateway/request_trace.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace dotterellug::gateway {
+namespace {
+
+// Prompt parts are logged up to this number of bytes.
+constexpr std::size_t kMaxLoggedParts = 200;
+
+}  // namespace
 
 auto RequestTrace::Waits(const RequestId& request, const char* reason,
                          Timestamp until) -> void {
@@ -45,6 +51,24 @@
   }
 }
 
+auto RequestTrace::BrokenOff(const serving::ServiceRequest& request,
+                             const BrokenAttempt& attempt) -> void {
+  std::string parts;
+  for (const auto& part : request.shared_parts) {
+    if (parts.size() > kMaxLoggedParts) break;
+    if (!parts.empty()) parts += ',';
+    parts += part.Value();
+  }
+  context_.log.Write(EventRank::kFailure, "upstream_broke_off")
+      .Add("request", request.id.Value())
+      .Add("upstream", attempt.upstream.Value())
+      .Add("upstream_started", attempt.upstream_started_ms)
+      .Add("status", attempt.status)
+      .Add("events", attempt.events)
+      .AddMs("attempt_ms", MonotonicNow() - attempt.sent_at)
+      .Add("prompt_parts", parts);
+}
+
 auto RequestTrace::Passed(Timestamp now) -> void {
   if (first_passed_ == Timestamp{}) {
     first_passed_ = now;
--- a/daemon/gateway/request_trace.h
+++ b/daemon/gateway/request_trace.h
@@ -29,6 +29,18 @@
   int status = 0;
 };
 
+// What is known of an attempt whose upstream broke the connection.
+struct BrokenAttempt {
+  UpstreamId upstream;
+  // Start of the upstream's process, as its record states it.
+  std::int64_t upstream_started_ms = 0;
+  Timestamp sent_at;
+  // 0 if the connection broke before a response head.
+  int status = 0;
+  // Complete events of the stream that this attempt delivered.
+  std::int64_t events = 0;
+};
+
 // Writes the log lines of one request and observes its latencies.
 class RequestTrace {
  public:
@@ -42,6 +54,9 @@
   auto Sent(const RequestId& request, int attempt,
             const serving::UpstreamView& upstream, Duration time_left,
             std::int64_t config) -> void;
+  // An attempt ended because its upstream broke the connection.
+  auto BrokenOff(const serving::ServiceRequest& request,
+                 const BrokenAttempt& attempt) -> void;
   // The answer, or an event of it, was passed on.
   auto Passed(Timestamp now) -> void;
   auto Ended(const RequestEnd& end) -> void;
--- a/modules/core/ids/ids.h
+++ b/modules/core/ids/ids.h
@@ -18,6 +18,9 @@
 using AdapterId = StrongString<struct AdapterIdTag>;
 // The public part of a caller's key; safe to log.
 using KeyId = StrongString<struct KeyIdTag>;
+// A part of a prompt that several requests may have in common, as its caller
+// names it.
+using PromptPartId = StrongString<struct PromptPartIdTag>;
 using RequestId = StrongString<struct RequestIdTag>;
 // One unit of owned state, such as the budgets of a group of client accounts.
 using ShardId = StrongString<struct ShardIdTag>;
--- a/modules/serving/request/service_request.h
+++ b/modules/serving/request/service_request.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/core.h"
 #include "serving/catalog/serving_catalog.h"
@@ -38,6 +39,8 @@
   std::uint64_t shared_prefix_hash = 0;
   // Number of tokens that other requests share.
   std::int64_t shared_prefix_tokens = 0;
+  // The parts of the prompt that other requests may share, in order.
+  std::vector<PromptPartId> shared_parts;
   // Id of the event after which a resumed stream continues; not set for a new
   // stream.
   std::optional<std::int64_t> last_event_id;
