Reject requests with a prompt part that has ended several upstreams

Cause: each request was judged by itself and each daemon by itself. A broken attempt counted against its upstream only.

Change: a daemon records which parts were at the beginning of an answer when an upstream ended, and which parts work. Reports to hubs and their answers carry that evidence while it is new or a part is quarantined, nothing otherwise. A request with a quarantined part is refused at once with 503 and the time until the next review, before it takes tokens or counts as demand for a model; one that waits or is at an upstream that has not begun to answer ends as well. A request that is suspected because of another process's end is not repeated.

A stream without length and chunks that ends before its first event was passed on as complete; it counts as broken off now.

--- a/client/explain/request_story.cc
+++ b/client/explain/request_story.cc
@@ -412,6 +412,7 @@
              ": its daemon was being stopped and had too little time left for "
              "it";
     }
+    if (cause == "quarantined_prompt_part") return QuarantinedPart();
     if (cause == "malformed") {
       return "refused: the request cannot be understood";
     }
@@ -447,6 +448,35 @@
            UpstreamEvidence(last_upstream_);
   }
 
+  auto QuarantinedPart() const -> std::string {
+    auto part = ended_->Text("prompt_part");
+    const LogLine* decision = nullptr;
+    for (const auto& line : logs_.lines) {
+      if (!OwnProcess(line) || line.event != "prompt_part_quarantined")
+        continue;
+      if (clocks_.At(line) > end_ms_) continue;
+      if (!part.empty() && line.Text("prompt_part") != part) continue;
+      decision = &line;
+    }
+    if (decision != nullptr && part.empty()) {
+      part = decision->Text("prompt_part");
+    }
+    auto text = "rejected: its prompt has the part " + part +
+                ", under which upstreams ended when they began to answer";
+    if (decision == nullptr)
+      return text + "; the decision is not in these logs";
+    text += " (" + decision->Text("crashed_upstreams") + "); the part was " +
+            "quarantined " + Before(*decision);
+    std::int64_t attempts = 0;
+    for (const auto& line : logs_.lines) {
+      if (line.event != "upstream_broke_off") continue;
+      const auto parts = "," + line.Text("prompt_parts") + ",";
+      if (parts.find("," + part + ",") != std::string::npos) ++attempts;
+    }
+    return text + "; " + Count(attempts, "attempt") +
+           " with it broke off in these logs";
+  }
+
   auto ProcessStopped(const std::string& took) const -> std::string {
     auto text = "its daemon was stopped " + took + " after it arrived";
     if (last_upstream_.empty()) {
--- a/client/tests/explain_tests.cc
+++ b/client/tests/explain_tests.cc
@@ -271,5 +271,23 @@
   EXPECT_EQ(RunNamed("explain", {"r1", path + ".none"}).code, ExitCode::kUsage);
 }
 
+// Guards against a rejection whose crashes cannot be found afterwards.
+TEST(RequestStoryTest, NamesTheQuarantinedPartAndTheUpstreamsThatEnded) {
+  const auto logs =
+      LogText()
+          .Add("d2", 1000, "upstream_broke_off",
+               R"("request":"r0","upstream":"u3","prompt_parts":"a,bad")")
+          .Add("d1", 2000, "prompt_part_quarantined",
+               R"("prompt_part":"bad","crashed_upstreams":"u1,u2,u3")")
+          .Add("d1", 2500, "request_ended",
+               R"("request":"r1","outcome":"refused","status":503,)"
+               R"("cause":"quarantined_prompt_part","prompt_part":"bad")");
+  const auto cause = logs.Cause();
+  EXPECT_TRUE(Contains(cause, "the part bad"));
+  EXPECT_TRUE(Contains(cause, "u1,u2,u3"));
+  EXPECT_TRUE(Contains(cause, "500 ms before"));
+  EXPECT_TRUE(Contains(cause, "1 attempt with it broke off"));
+}
+
 }  // namespace
 }  // namespace dotterellug
--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -45,7 +45,7 @@
       grant_timer_(context.loop),
       fleet_member_(
           context.settings.instance, context.settings.zone,
-          context.granted_tokens,
+          context.granted_tokens, context.quarantine,
           [this](const ClientAccountId& id) -> std::optional<RateLimit> {
             if (!context_.catalog) return std::nullopt;
             const auto* account = context_.catalog->FindAccount(id);
@@ -342,6 +342,9 @@
   if (!urgent_only) {
     periodic_report_due_ = now + fleet_member_.ReportInterval();
     LogHub(*outgoing, now);
+    const bool is_fleet_hub = outgoing->hub == context_.settings.instance;
+    context_.runs_trials =
+        is_fleet_hub && (members_.size() <= 1 || FleetHubDaemonCount(now) > 0);
     LogRole(now);
     SendProbes(now);
   }
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "daemon/gateway/quarantine_page.h"
 #include "daemon/gateway/request_exchange.h"
 
 namespace dotterellug::gateway {
@@ -63,7 +64,11 @@
           }),
       metrics_(loop,
                [this](const std::shared_ptr<eventhttp::ServerSession>& session,
-                      const eventhttp::ServerRequest&) {
+                      const eventhttp::ServerRequest& request) {
+                 const auto now = MonotonicNow();
+                 if (AnswerQuarantineRequest(context_, session, request, now)) {
+                   return;
+                 }
                  SetLevels();
                  session->Respond(200, {{"Content-Type", "text/plain"}},
                                   context_.metrics.Text());
@@ -312,6 +317,8 @@
               static_cast<double>(context_.upstreams.All().size()));
   metrics.Set(GatewayLevel::kMembers,
               static_cast<double>(fleet_.Members().size()));
+  metrics.Set(GatewayLevel::kQuarantinedParts,
+              static_cast<double>(context_.quarantine.Quarantined().size()));
   metrics.Set(GatewayLevel::kOrderLeaseHeld, orders_.Leading() ? 1 : 0);
   metrics.Set(GatewayLevel::kStoreAnswerAge, age(lapsed_.LastResponseAt()));
   metrics.Set(GatewayLevel::kHubAnswerAge, age(context_.hub_answered_at));
@@ -350,6 +357,7 @@
 auto Gateway::Tick() -> void {
   const auto now = MonotonicNow();
   NoteClocks(now);
+  context_.UpdateQuarantine(now);
   context_.RetryParked(now);
   context_.log.Flush(now);
   for (const auto& id : lapsed_.TakeExpired(now)) {
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -36,6 +36,8 @@
   // The loop ends when that is done.
   auto Drain() -> void;
   auto Ready() const -> bool;
+  // What its requests share, for tests and operators' pages.
+  auto Context() -> GatewayContext& { return context_; }
   // The settings may have changed.
   auto Reload() -> void;
 
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <string>
 #include <utility>
 
 #include "daemon/gateway/request_exchange.h"
@@ -13,6 +14,30 @@
 // together.
 constexpr auto kLogDelay = std::chrono::milliseconds(4);
 
+auto LogQuarantineChange(EventLog& log,
+                         const quarantine::QuarantineChange& change,
+                         Timestamp now) -> void {
+  const auto& evidence = change.evidence;
+  std::string upstreams;
+  for (const auto& crash : evidence.crashes) {
+    if (!upstreams.empty()) upstreams += ',';
+    upstreams += crash.process.upstream.Value();
+  }
+  const bool quarantined = change.quarantined;
+  auto line =
+      log.Write(EventRank::kState, quarantined ? "prompt_part_quarantined"
+                                               : "prompt_part_released");
+  line.Add("prompt_part", evidence.part.Value())
+      .Add("position", evidence.depth)
+      .Add("crashed_upstreams", upstreams)
+      .Add("trials", evidence.trials)
+      .AddMs("first_crash_age_ms", now - evidence.crashes.front().at)
+      .AddMs("last_crash_age_ms", now - evidence.crashes.back().at);
+  if (evidence.worked_at) {
+    line.AddMs("worked_age_ms", now - *evidence.worked_at);
+  }
+}
+
 }  // namespace
 
 GatewayContext::GatewayContext(boost::asio::io_context& event_loop,
@@ -53,14 +78,36 @@
   parked = std::move(still);
 }
 
-auto GatewayContext::AnswerOpenRequests() -> void {
-  // An answer may end the exchange, which removes it from the set.
+auto GatewayContext::OpenExchanges() const
+    -> std::vector<std::shared_ptr<RequestExchange>> {
   std::vector<std::shared_ptr<RequestExchange>> open;
   open.reserve(open_requests->size());
   for (auto* exchange : *open_requests) {
     open.push_back(exchange->shared_from_this());
   }
-  for (const auto& exchange : open) exchange->AnswerBeforeStop();
+  return open;
+}
+
+auto GatewayContext::AnswerOpenRequests() -> void {
+  for (const auto& exchange : OpenExchanges()) exchange->AnswerBeforeStop();
+}
+
+auto GatewayContext::UpdateQuarantine(Timestamp now) -> void {
+  const auto last_answer = [&](const quarantine::UpstreamProcess& process)
+      -> std::optional<Timestamp> {
+    const auto upstream = upstreams.Find(process.upstream);
+    if (!upstream || upstream->record.started_ms != process.started_ms) {
+      return std::nullopt;
+    }
+    return upstream->heard_at;
+  };
+  bool quarantined = false;
+  for (const auto& change : quarantine.Update(last_answer, now)) {
+    quarantined = quarantined || change.quarantined;
+    LogQuarantineChange(log, change, now);
+  }
+  if (!quarantined) return;
+  for (const auto& exchange : OpenExchanges()) exchange->OnQuarantine(now);
 }
 
 auto GatewayContext::LogBrokenRequests() -> void {
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -17,6 +17,7 @@
 #include "daemon/gateway/gateway_settings.h"
 #include "eventhttp/eventhttp.h"
 #include "fleet/fleet.h"
+#include "quarantine/quarantine.h"
 #include "serving/serving.h"
 #include "telemetry/telemetry.h"
 
@@ -32,9 +33,15 @@
 
   // Lets every parked request try to go on; those that still wait stay parked.
   auto RetryParked(Timestamp now) -> void;
+  // The requests without a final answer. Ending one removes it from
+  // `open_requests`.
+  auto OpenExchanges() const -> std::vector<std::shared_ptr<RequestExchange>>;
   // Gives each request whose answer has not begun its final answer, because
   // the process is about to end.
   auto AnswerOpenRequests() -> void;
+  // Brings the quarantine of prompt parts up to date and ends requests that
+  // have a part which is quarantined now.
+  auto UpdateQuarantine(Timestamp now) -> void;
   // Logs each request whose answer the end of the process breaks off.
   auto LogBrokenRequests() -> void;
 
@@ -54,6 +61,11 @@
   eventhttp::ConnectionPool connections;
   Random random;
 
+  quarantine::PromptQuarantine quarantine;
+  // Whether this daemon lets requests through to find out whether a
+  // quarantined prompt part still ends upstreams. One daemon of the fleet does.
+  bool runs_trials = false;
+
   // Models that engines are about to unload.
   std::set<std::pair<UpstreamId, ModelId>> unloading;
   // What callers ask of each model.
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -41,7 +41,7 @@
      "Log lines that did not fit the bounds, by event."},
 }};
 
-const std::array<Name, 10> kLevels{{
+const std::array<Name, 11> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -60,6 +60,9 @@
      "Daemons that report to this daemon as their zone hub."},
     {"dotterellug_gateway_fleet_hub_daemons", "",
      "Daemons whose reports arrive here as the fleet hub."},
+    {"dotterellug_gateway_quarantined_prompt_parts", "",
+     "Prompt parts that end upstreams, so that requests with them are "
+     "rejected."},
 }};
 
 const std::array<Name, 4> kLatencies{{
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -33,6 +33,7 @@
   kHubAnswerAge,
   kZoneHubDaemons,
   kFleetHubDaemons,
+  kQuarantinedParts,
 };
 
 // Durations of requests, as histograms.
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -62,6 +62,8 @@
 constexpr int kSilenceGoals = 2;
 // Requests waiting at an upstream beyond its slots, as a part of the slots.
 constexpr double kQueuePart = 1.0;
+// An upstream that delivers this many events of a stream works on its prompt.
+constexpr std::int64_t kWorkingEvents = 2;
 // Not-run answers after which a request is refused.
 constexpr int kMostNotRun = 3;
 
@@ -134,6 +136,7 @@
   if (CannotFinishBeforeStop(now)) {
     return Refuse(503, "no_time_before_stop", ReturnDelay());
   }
+  if (RejectQuarantined(now)) return;
   ArmTimer();
   CountDemand(now);
   if (SpendTokens(now)) Dispatch(now);
@@ -172,6 +175,39 @@
   return true;
 }
 
+auto RequestExchange::RejectQuarantined(Timestamp now) -> bool {
+  if (trial_) return false;
+  const auto* evidence =
+      context_.quarantine.FindQuarantined(request_.shared_parts);
+  if (evidence == nullptr) return false;
+  const bool trial_due =
+      context_.runs_trials && context_.quarantine.TrialDue(evidence->part, now);
+  if (trial_due) return false;
+  RefuseQuarantined(evidence->part, now);
+  return true;
+}
+
+auto RequestExchange::RefuseQuarantined(const PromptPartId& part, Timestamp now)
+    -> void {
+  context_.quarantine.RecordRejection(part, now);
+  quarantined_part_ = part;
+  Refuse(ran_ > 0 ? 502 : 503, "quarantined_prompt_part",
+         context_.quarantine.TimeUntilReview(part, now));
+}
+
+auto RequestExchange::BeginTrial(Timestamp now) -> void {
+  if (trial_) return;
+  const auto* evidence =
+      context_.quarantine.FindQuarantined(request_.shared_parts);
+  if (evidence == nullptr) return;
+  trial_ = true;
+  context_.log.Write(EventRank::kState, "prompt_part_trial")
+      .Add("request", request_.id.Value())
+      .Add("prompt_part", evidence->part.Value())
+      .Add("trials_before", evidence->trials);
+  context_.quarantine.CountTrial(evidence->part, now);
+}
+
 auto RequestExchange::CountDemand(Timestamp now) -> void {
   if (request_.model.Empty()) return;
   context_.demand.Count(request_.model,
@@ -307,9 +343,11 @@
   if (ran_ == 0 && CannotFinishBeforeStop(now)) {
     return Refuse(503, "no_time_before_stop", ReturnDelay());
   }
+  if (RejectQuarantined(now)) return;
   const auto upstream = Choose(now);
   if (!upstream) return ParkForUpstream(upstream.error(), now);
   waiting_ = Waiting::kNothing;
+  BeginTrial(now);
   SendTo(*upstream, now);
 }
 
@@ -470,6 +508,7 @@
   }
   attempt.answer = answer;
   attempt.head_seen = true;
+  attempt.upstream->heard_at = MonotonicNow();
   attempt.status = head.status;
   if (answer.not_run) {
     --ran_;
@@ -521,6 +560,9 @@
   auto& attempt = *attempt_;
   attempt.fields = context_.dialect.caller_fields(head);
   attempt.length = ContentLength(head.fields);
+  attempt.ends_at_close =
+      !attempt.length &&
+      eventhttp::FindField(head.fields, "Transfer-Encoding") == nullptr;
   const bool stream = Stream() && head.status / 100 == 2;
   const bool large = attempt.length && *attempt.length > kBufferedAnswer;
   if (answering_ || (!stream && !large)) return;
@@ -550,6 +592,11 @@
     if (!whole.empty()) {
       const auto now = MonotonicNow();
       trace_.Passed(now);
+      attempt.upstream->heard_at = now;
+      if (!attempt.works_on_prompt && !AtBeginning()) {
+        attempt.works_on_prompt = true;
+        context_.quarantine.RecordWorking(request_.shared_parts, now);
+      }
       if (!attempt.first_event_seen) {
         attempt.first_event_seen = true;
         attempt.upstream->RecordSuccess(now);
@@ -602,8 +649,12 @@
   }
   if (!Stream() || !answering_) attempt_->upstream->RecordSuccess(now);
   if (answering_) {
-    if (Stream() && !events_.PendingBytes().empty()) {
-      // The stream ended within an event.
+    const bool within_event = !events_.PendingBytes().empty();
+    // A connection that closes before the first event ends no stream.
+    const bool without_event = attempt_->ends_at_close &&
+                               events_.EventCount() == 0 &&
+                               !request_.last_event_id;
+    if (Stream() && (within_event || without_event)) {
       return OnBroken(ExchangeEnd::kTruncated);
     }
     ObserveServiceTime(now);
@@ -616,6 +667,9 @@
 }
 
 auto RequestExchange::ObserveServiceTime(Timestamp now) -> void {
+  if (attempt_->status / 100 == 2) {
+    context_.quarantine.RecordWorking(request_.shared_parts, now);
+  }
   // The rest of a resumed stream says nothing about whole ones.
   if (attempt_->status / 100 != 2 || ran_ > 1) return;
   context_.service_times.Observe(route_->name, MaxOutputTokens(),
@@ -637,14 +691,8 @@
   const auto now = MonotonicNow();
   const auto upstream = attempt_->upstream;
   const bool unsent = end == ExchangeEnd::kNotSent;
-  if (unsent) {
-    --ran_;
-  } else {
-    trace_.BrokenOff(
-        request_,
-        {upstream->record.id, upstream->record.started_ms, attempt_->sent_at,
-         attempt_->status, events_.EventCount() - attempt_->events_before});
-  }
+  const bool suspected = !unsent && RecordBreak(end, now);
+  if (unsent) --ran_;
   if (end == ExchangeEnd::kNotSent || end == ExchangeEnd::kNoResponse) {
     const bool known = upstream->Suspected(now);
     upstream->RecordUnreachable(now);
@@ -660,7 +708,8 @@
   CloseAttempt();
   events_.DiscardPending();
   const auto* cause = unsent ? "no_connection" : "upstream_broke_off";
-  if ((unsent || MayRepeat(now)) && TryAgain(cause, now)) return;
+  const bool may_repeat = unsent || (MayRepeat(now) && !suspected);
+  if (may_repeat && TryAgain(cause, now)) return;
   if (answering_) {
     session_->Abort();
     return Finish("failed", cause, 0);
@@ -669,6 +718,39 @@
   Refuse(502, cause, std::nullopt);
 }
 
+auto RequestExchange::AtBeginning() const -> bool {
+  return AttemptEvents() < kWorkingEvents;
+}
+
+auto RequestExchange::UpstreamProcess() const -> quarantine::UpstreamProcess {
+  const auto& record = attempt_->upstream->record;
+  return {record.id, record.started_ms};
+}
+
+auto RequestExchange::RecordBreak(ExchangeEnd end, Timestamp now) -> bool {
+  const auto process = UpstreamProcess();
+  trace_.BrokenOff(request_,
+                   {process.upstream, process.started_ms, attempt_->sent_at,
+                    attempt_->status, AttemptEvents()});
+  if (end == ExchangeEnd::kProtocolError || !AtBeginning()) return false;
+  context_.quarantine.RecordCrash(request_.shared_parts, process,
+                                  attempt_->head_seen, now);
+  return context_.quarantine.SuspectedElsewhere(request_.shared_parts, process);
+}
+
+auto RequestExchange::OnQuarantine(Timestamp now) -> void {
+  if (done_ || trial_) return;
+  const auto* evidence =
+      context_.quarantine.FindQuarantined(request_.shared_parts);
+  if (evidence == nullptr) return;
+  if (attempt_ && !AtBeginning()) return;
+  // Its upstream must not begin to answer it any more.
+  if (attempt_) DropAttempt();
+  if (!answering_) return RefuseQuarantined(evidence->part, now);
+  session_->Abort();
+  Finish("failed", "quarantined_prompt_part", 0);
+}
+
 auto RequestExchange::OnCallerGone() -> void {
   if (done_) return;
   const bool at_work = attempt_.has_value();
@@ -712,6 +794,7 @@
   if (sent_ >= route_->max_upstreams + kMostNotRun) return false;
   if (deadline_ - now < kLeastTime) return false;
   if (ran_ == 0 && CannotFinishBeforeStop(now)) return false;
+  if (trial_ || PromptPartQuarantined()) return false;
   if (!context_.repeats.TryRetry(pool_->id, now)) return false;
   const auto upstream = Choose(now);
   context_.log.Write(EventRank::kFailure, "repeat")
@@ -768,6 +851,7 @@
   if (catalog_) end.config = catalog_->version;
   end.sent = sent_;
   if (!tried_.empty()) end.upstream = tried_.back();
+  end.quarantined_part = quarantined_part_;
   end.outcome = outcome;
   end.cause = cause;
   end.status = status;
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -32,6 +32,9 @@
   // Gives the request its final answer unless the answer has begun: the process
   // is about to end.
   auto AnswerBeforeStop() -> void;
+  // Ends the request if it has a prompt part that is quarantined now, unless
+  // its answer shows that the part works.
+  auto OnQuarantine(Timestamp now) -> void;
   // Logs that the process ends before the answer does.
   auto LogProcessStopped() -> void;
 
@@ -48,6 +51,8 @@
     UpstreamAnswer answer;
     bool head_seen = false;
     bool first_event_seen = false;
+    // The answer has got beyond its beginning.
+    bool works_on_prompt = false;
     // Complete events of the stream before this attempt.
     std::int64_t events_before = 0;
     // Part of the upstream's unread prompt tokens until its first event.
@@ -58,12 +63,34 @@
     eventhttp::HeaderFields fields;
     std::string body;
     std::optional<std::uint64_t> length;
+    // Neither a length nor chunks tell where the answer ends.
+    bool ends_at_close = false;
   };
 
   auto Begin(Timestamp now) -> void;
   auto Identify() -> bool;
   auto CountDemand(Timestamp now) -> void;
   auto SpendTokens(Timestamp now) -> bool;
+  // Rejects a request with a quarantined prompt part. Returns whether it did.
+  auto RejectQuarantined(Timestamp now) -> bool;
+  auto RefuseQuarantined(const PromptPartId& part, Timestamp now) -> void;
+  // Counts a request that is sent although it has a quarantined part.
+  auto BeginTrial(Timestamp now) -> void;
+  auto PromptPartQuarantined() const -> bool {
+    return context_.quarantine.FindQuarantined(request_.shared_parts) !=
+           nullptr;
+  }
+  // Complete events of the stream that the attempt delivered.
+  auto AttemptEvents() const -> std::int64_t {
+    return events_.EventCount() - attempt_->events_before;
+  }
+  // Whether the attempt's answer has not got beyond its beginning, so that the
+  // prompt may be what ends the upstream.
+  auto AtBeginning() const -> bool;
+  auto UpstreamProcess() const -> quarantine::UpstreamProcess;
+  // Learns from an attempt that its upstream broke off. Returns whether its
+  // prompt is suspected to have ended other upstreams, too.
+  auto RecordBreak(eventhttp::ExchangeEnd end, Timestamp now) -> bool;
   auto Dispatch(Timestamp now) -> void;
   auto ChoosePool() -> const serving::ServicePool*;
   auto Choose(Timestamp now)
@@ -140,6 +167,11 @@
   Timestamp waits_until_{};
   const char* waits_for_ = "";
 
+  // Sent to find out whether a quarantined prompt part still ends upstreams.
+  bool trial_ = false;
+  // Because of which the request was rejected; empty if it was not.
+  PromptPartId quarantined_part_;
+
   std::optional<Attempt> attempt_;
   std::vector<UpstreamId> tried_;
   // Attempts that ran or may have run.
--- a/daemon/gateway/request_trace.cc
+++ b/daemon/gateway/request_trace.cc
@@ -129,6 +129,9 @@
   const auto& request = end.request;
   if (!request.model.Empty()) line.Add("model", request.model.Value());
   if (!request.adapter.Empty()) line.Add("adapter", request.adapter.Value());
+  if (!end.quarantined_part.Empty()) {
+    line.Add("prompt_part", end.quarantined_part.Value());
+  }
   if (!end.upstream.Empty()) line.Add("upstream", end.upstream.Value());
   if (end.config >= 0) line.Add("config", end.config);
 }
--- a/daemon/gateway/request_trace.h
+++ b/daemon/gateway/request_trace.h
@@ -21,6 +21,8 @@
   // Attempts made, and the upstream of the last one; empty if none.
   int sent = 0;
   UpstreamId upstream{};
+  // Because of which the request was rejected; empty if it was not.
+  PromptPartId quarantined_part{};
   // "ok", "refused", "failed" or "cancelled".
   const char* outcome = "";
   // Empty when all went well.
--- a/modules/fleet/benchmarks/hub_time.cc
+++ b/modules/fleet/benchmarks/hub_time.cc
@@ -41,8 +41,9 @@
 // Handles `reports` datagrams as a hub of the level and prints a line.
 auto Measure(HubLevel level, int daemons, int upstreams, int reports) -> void {
   GrantedTokens tokens;
+  quarantine::PromptQuarantine quarantine;
   FleetMember member(InstanceId("hub"), AvailabilityZoneId("zone"), tokens,
-                     [](const auto&) {
+                     quarantine, [](const auto&) {
                        return RateLimit{Tokens(1000), Tokens(1000)};
                      });
   Random random(1);
--- a/modules/fleet/member/fleet_member.cc
+++ b/modules/fleet/member/fleet_member.cc
@@ -15,11 +15,13 @@
 
 FleetMember::FleetMember(InstanceId self, AvailabilityZoneId zone,
                          GrantedTokens& granted_tokens,
+                         quarantine::PromptQuarantine& quarantine,
                          FleetHub::LimitLookup find_limit,
                          FleetMemberOptions options)
     : self_(std::move(self)),
       zone_(std::move(zone)),
       granted_tokens_(granted_tokens),
+      quarantine_(quarantine),
       options_(options),
       fleet_hub_({}, std::move(find_limit)),
       zone_hub_(FleetHubOptions{}.report_ttl, granted_tokens),
@@ -73,7 +75,10 @@
 
 auto FleetMember::PrepareReport(FleetReport report, Timestamp now)
     -> std::optional<OutgoingReport> {
-  if (!report.urgent_only) zone_hub_.AddReports(report, now);
+  if (!report.urgent_only) {
+    zone_hub_.AddReports(report, now);
+    report.prompt_evidence = quarantine_.Share(now);
+  }
   zone_hub_.AddUrgent(report, now);
   report.token_requests = granted_tokens_.TakeTokenRequests(now);
   if (report.urgent_only && report.token_requests.empty() &&
@@ -106,6 +111,8 @@
                      : fleet_hub_.OnReport(report, now);
   summary.from = self_;
   summary.level = report.level;
+  quarantine_.Merge(report.prompt_evidence, now);
+  if (!summary.grants_only) summary.prompt_evidence = quarantine_.Share(now);
   return summary;
 }
 
@@ -116,6 +123,7 @@
   selector.OnAnswer(summary.from, now);
   for (const auto& grant : summary.grants) granted_tokens_.OnGrant(grant, now);
   if (!summary.grants_only) {
+    quarantine_.Merge(summary.prompt_evidence, now);
     zone_hub_.SetOtherZonesLoads(summary.other_daemons_loads);
   }
 }
--- a/modules/fleet/member/fleet_member.h
+++ b/modules/fleet/member/fleet_member.h
@@ -50,9 +50,11 @@
 // daemon receives the reports of all others. Not thread-safe.
 class FleetMember {
  public:
-  // `granted_tokens` must outlive this object.
+  // `granted_tokens` and `quarantine` must outlive this object.
   FleetMember(InstanceId self, AvailabilityZoneId zone,
-              GrantedTokens& granted_tokens, FleetHub::LimitLookup find_limit,
+              GrantedTokens& granted_tokens,
+              quarantine::PromptQuarantine& quarantine,
+              FleetHub::LimitLookup find_limit,
               FleetMemberOptions options = {});
 
   // Sets the daemons registered in the store.
@@ -117,6 +119,7 @@
   InstanceId self_;
   AvailabilityZoneId zone_;
   GrantedTokens& granted_tokens_;
+  quarantine::PromptQuarantine& quarantine_;
   FleetMemberOptions options_;
   FleetHub fleet_hub_;
   ZoneHub zone_hub_;
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -19,6 +19,9 @@
 // Number of elements in the first version of each layout.
 constexpr std::size_t kFirstReportSize = 10;
 constexpr std::size_t kFirstSummarySize = 15;
+// Index of the evidence on prompt parts, which is left out if there is none.
+constexpr std::size_t kReportEvidence = 14;
+constexpr std::size_t kSummaryEvidence = 19;
 
 // Encodes an age that is not known.
 constexpr std::int64_t kUnknownAge = -1;
@@ -125,6 +128,65 @@
   return changes;
 }
 
+// Encodes an age that may be unknown.
+auto EncodeAge(const std::optional<Duration>& age) -> std::int64_t {
+  return age ? age->count() : kUnknownAge;
+}
+
+auto DecodeAge(const Json& value) -> std::optional<Duration> {
+  const auto age = value.get<std::int64_t>();
+  if (age < 0) return std::nullopt;
+  return Duration(age);
+}
+
+// Encodes the evidence on each prompt part as an array that ends with five
+// elements for each crash.
+auto EncodeEvidence(const std::vector<quarantine::SharedEvidence>& evidence)
+    -> Json {
+  auto list = Json::array();
+  for (const auto& part : evidence) {
+    auto entry =
+        Json::array({part.part.Value(), part.depth, EncodeAge(part.worked_age),
+                     EncodeAge(part.rejected_age), part.trials});
+    for (const auto& crash : part.crashes) {
+      entry.push_back(crash.process.upstream.Value());
+      entry.push_back(crash.process.started_ms);
+      entry.push_back(crash.age.count());
+      entry.push_back(crash.answer_begun);
+      entry.push_back(crash.refuted);
+    }
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+auto DecodeEvidence(const Json& list)
+    -> std::vector<quarantine::SharedEvidence> {
+  constexpr std::size_t kPartElements = 5;
+  constexpr std::size_t kCrashElements = 5;
+  std::vector<quarantine::SharedEvidence> evidence;
+  for (const auto& entry : list) {
+    quarantine::SharedEvidence part;
+    part.part = PromptPartId(entry.at(0).get<std::string>());
+    part.depth = entry.at(1).get<std::int64_t>();
+    part.worked_age = DecodeAge(entry.at(2));
+    part.rejected_age = DecodeAge(entry.at(3));
+    part.trials = entry.at(4).get<std::int64_t>();
+    for (auto i = kPartElements; i + kCrashElements <= entry.size();
+         i += kCrashElements) {
+      quarantine::SharedCrash crash;
+      crash.process.upstream = UpstreamId(entry[i].get<std::string>());
+      crash.process.started_ms = entry[i + 1].get<std::int64_t>();
+      crash.age = Duration(entry[i + 2].get<std::int64_t>());
+      crash.answer_begun = entry[i + 3].get<bool>();
+      crash.refuted = entry[i + 4].get<bool>();
+      part.crashes.push_back(std::move(crash));
+    }
+    evidence.push_back(std::move(part));
+  }
+  return evidence;
+}
+
 auto Encode(const FleetReport& report) -> Json {
   auto models = Json::array();
   for (const auto& demand : report.models) {
@@ -145,13 +207,17 @@
     request_waits.push_back(request.minimum);
     request_waits.push_back(request.patience.count());
   }
-  return Json::array(
+  auto message = Json::array(
       {kReportTag, report.from.Value(), report.incarnation.Value(),
        report.sequence, EncodeLoads(report.upstreams), std::move(models),
        std::move(missing_adapters), std::move(token_requests),
        report.upstream_position, EncodeIds(report.unreachable),
        static_cast<int>(report.level), report.urgent_only,
        EncodeIds(report.included_daemons), std::move(request_waits)});
+  if (!report.prompt_evidence.empty()) {
+    message.push_back(EncodeEvidence(report.prompt_evidence));
+  }
+  return message;
 }
 
 auto Encode(const FleetSummary& summary) -> Json {
@@ -174,7 +240,7 @@
     loaded.push_back(model.model.Value());
     loaded.push_back(model.adapter.Value());
   }
-  return Json::array(
+  auto message = Json::array(
       {kSummaryTag, summary.from.Value(), summary.sequence,
        summary.leader.Value(), summary.leader_fence,
        summary.lease_holder_age == Duration::zero(),
@@ -183,9 +249,11 @@
        summary.store_response_age.count(), EncodeChanges(summary.changes),
        summary.lease_revision, EncodeIds(summary.unreachable),
        static_cast<int>(summary.level), summary.grants_only,
-       summary.lease_holder_age ? summary.lease_holder_age->count()
-                                : kUnknownAge,
-       std::move(queued)});
+       EncodeAge(summary.lease_holder_age), std::move(queued)});
+  if (!summary.prompt_evidence.empty()) {
+    message.push_back(EncodeEvidence(summary.prompt_evidence));
+  }
+  return message;
 }
 
 auto DecodeReport(const Json& list) -> FleetReport {
@@ -225,6 +293,9 @@
     request.patience =
         Duration(request_waits.at(2 * i + 1).get<std::int64_t>());
   }
+  if (list.size() > kReportEvidence) {
+    report.prompt_evidence = DecodeEvidence(list[kReportEvidence]);
+  }
   return report;
 }
 
@@ -261,14 +332,14 @@
   if (list.size() == kFirstSummarySize) return summary;
   summary.level = DecodeLevel(list.at(15));
   summary.grants_only = list.at(16).get<bool>();
-  const auto lease_holder_age = list.at(17).get<std::int64_t>();
-  if (lease_holder_age != kUnknownAge) {
-    summary.lease_holder_age = Duration(lease_holder_age);
-  }
+  summary.lease_holder_age = DecodeAge(list.at(17));
   const auto& queued = list.at(18);
   for (std::size_t i = 0; i < summary.grants.size(); ++i) {
     summary.grants[i].queued = queued.at(i).get<bool>();
   }
+  if (list.size() > kSummaryEvidence) {
+    summary.prompt_evidence = DecodeEvidence(list[kSummaryEvidence]);
+  }
   return summary;
 }
 
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -8,6 +8,7 @@
 
 #include "core/core.h"
 #include "fleet/changes/upstream_change_log.h"
+#include "quarantine/quarantine.h"
 
 namespace dotterellug::fleet {
 
@@ -82,6 +83,8 @@
   // Upstreams that the sender recently failed to reach. An upstream is listed
   // once for each daemon included in the report that failed to reach it.
   std::vector<UpstreamId> unreachable;
+  // What the sender knows of prompt parts that end upstreams.
+  std::vector<quarantine::SharedEvidence> prompt_evidence;
 };
 
 // Tokens of a client account's limit that the hub grants.
@@ -148,6 +151,8 @@
   std::vector<LoadedModel> loaded;
   // Upstreams that several daemons recently failed to reach.
   std::vector<UpstreamId> unreachable;
+  // What the hub knows of prompt parts that end upstreams.
+  std::vector<quarantine::SharedEvidence> prompt_evidence;
 };
 
 using FleetMessage = std::variant<FleetReport, FleetSummary>;
--- a/modules/fleet/tests/simulated_fleet.h
+++ b/modules/fleet/tests/simulated_fleet.h
@@ -64,7 +64,7 @@
       auto daemon = std::make_unique<Daemon>();
       daemon->registered = member;
       daemon->member = std::make_unique<FleetMember>(
-          member.id, member.zone, daemon->tokens,
+          member.id, member.zone, daemon->tokens, daemon->quarantine,
           [limit](const ClientAccountId&) { return limit; }, options.member);
       daemon->member->SetMembers(members);
       for (int i = 0; i < options.accounts; ++i) {
@@ -161,6 +161,7 @@
   struct Daemon {
     RegisteredDaemon registered;
     GrantedTokens tokens;
+    quarantine::PromptQuarantine quarantine;
     std::unique_ptr<FleetMember> member;
     std::vector<Caller> waiting;
     std::int64_t sequence = 0;
