Let a daemon that starts learn the quarantined parts before it sends

Callers would see: after a hub or a daemon had restarted, requests with a part that ends engines reached engines again. A restarted hub of the highest rank is its own hub at once and heard nothing from the others for two seconds.

Change: a daemon that has sent no report for 1.5 s, or none at all, asks three others with an empty urgent report. Answers to urgent reports carry the evidence on prompt parts, too. Until one arrives, for 500 ms at most, requests with shared prompt parts wait. A registered daemon whose address is none no longer throws when a message is sent to it.

--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -433,7 +433,15 @@
   const auto member = members_.find(daemon);
   if (member == members_.end()) return;
   const auto& address = member->second.peers;
-  Send({boost::asio::ip::make_address(address.host), address.port}, message);
+  boost::system::error_code error;
+  const auto host = boost::asio::ip::make_address(address.host, error);
+  if (error) {
+    context_.log.Write(EventRank::kFailure, "member_address_invalid")
+        .Add("member", daemon.Value())
+        .Add("address", address.Text());
+    return;
+  }
+  Send({host, address.port}, message);
 }
 
 auto FleetNode::Send(const boost::asio::ip::udp::endpoint& to,
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -60,6 +60,10 @@
   }
   // Whether another daemon, as the hub, tells how far it has read the store.
   auto Backed() const -> bool;
+  // Whether this daemon has yet to learn what others know of prompt parts.
+  auto CatchingUp(Timestamp now) const -> bool {
+    return fleet_member_.CatchingUp(now);
+  }
   // Whether a zone hub, which watches the store, tells this daemon of changes.
   auto HasZoneHub() const -> bool;
   // Whether the hub's list of upstreams is fresh, so that this daemon need not
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -76,6 +76,9 @@
       tick_(loop),
       lapsed_({settings.bounds.sign_of_life}) {
   context_.report_now = [this] { fleet_.ReportNow(); };
+  context_.catching_up = [this](Timestamp now) {
+    return fleet_.CatchingUp(now);
+  };
   fleet_.SetStoreLink(link_);
   fleet_.OnLeaseAnnounced(
       [this](std::int64_t revision) { orders_.OnLeaseAnnounced(revision); });
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -76,6 +76,9 @@
   std::vector<std::shared_ptr<RequestExchange>> parked;
   // Reports to the hub at once, because a request waits for its answer.
   std::function<void()> report_now;
+  // Whether this daemon does not know yet which prompt parts the fleet has
+  // quarantined, because it has just started or was paused.
+  std::function<bool(Timestamp)> catching_up;
   // Requests without a final answer. Shared with them, since handlers that the
   // event loop still holds may outlive the gateway.
   std::shared_ptr<std::unordered_set<RequestExchange*>> open_requests =
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -343,6 +343,10 @@
   if (ran_ == 0 && CannotFinishBeforeStop(now)) {
     return Refuse(503, "no_time_before_stop", ReturnDelay());
   }
+  if (!request_.shared_parts.empty() && context_.catching_up(now)) {
+    waits_for_ = "fleet_evidence";
+    return Park(Waiting::kFleetEvidence, deadline_);
+  }
   if (RejectQuarantined(now)) return;
   const auto upstream = Choose(now);
   if (!upstream) return ParkForUpstream(upstream.error(), now);
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -40,7 +40,13 @@
 
  private:
   // Why the request waits.
-  enum class Waiting { kNothing, kConfiguration, kTokens, kUpstream };
+  enum class Waiting {
+    kNothing,
+    kConfiguration,
+    kTokens,
+    kUpstream,
+    kFleetEvidence
+  };
 
   // An attempt at one upstream.
   struct Attempt {
--- a/modules/fleet/member/fleet_member.cc
+++ b/modules/fleet/member/fleet_member.cc
@@ -10,6 +10,8 @@
 // or a daemon considers its zone hub unresponsive.
 constexpr int kReportsPerTtl = 4;
 constexpr double kReportsPerAnswerTimeout = 2.5;
+// Daemons that are asked when this one catches up; some may be gone.
+constexpr std::size_t kCatchUpProbes = 3;
 
 }  // namespace
 
@@ -34,7 +36,10 @@
   std::vector<InstanceId> fleet;
   std::vector<InstanceId> zone;
   std::map<InstanceId, double> capacities;
+  members_known_ = true;
+  others_.clear();
   for (const auto& member : members) {
+    if (member.id != self_) others_.push_back(member.id);
     capacities[member.id] = member.capacity;
     fleet.push_back(member.id);
     if (member.zone == zone_) zone.push_back(member.id);
@@ -73,8 +78,26 @@
   return fleet_selector_.Choose(now);
 }
 
+auto FleetMember::NotePause(Timestamp now) -> void {
+  const bool paused =
+      prepared_at_ == Timestamp{} || now - prepared_at_ > options_.pause_time;
+  prepared_at_ = now;
+  if (!paused) return;
+  caught_up_ = false;
+  catch_up_probes_due_ = true;
+  catch_up_until_ = now + options_.catch_up_time;
+}
+
+auto FleetMember::CatchingUp(Timestamp now) const -> bool {
+  if (members_known_ && others_.empty()) return false;
+  const bool paused =
+      prepared_at_ == Timestamp{} || now - prepared_at_ > options_.pause_time;
+  return paused || (!caught_up_ && now < catch_up_until_);
+}
+
 auto FleetMember::PrepareReport(FleetReport report, Timestamp now)
     -> std::optional<OutgoingReport> {
+  NotePause(now);
   if (!report.urgent_only) {
     zone_hub_.AddReports(report, now);
     report.prompt_evidence = quarantine_.Share(now);
@@ -101,6 +124,15 @@
   while (const auto hub = fleet_selector_.TakeProbe(now)) {
     probes.emplace_back(*hub, HubLevel::kFleet);
   }
+  if (catch_up_probes_due_ && !others_.empty()) {
+    catch_up_probes_due_ = false;
+    const auto first = Hash64(self_.Value()) % others_.size();
+    const auto count = std::min(kCatchUpProbes, others_.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto index = (first + i * others_.size() / count) % others_.size();
+      probes.emplace_back(others_[index], HubLevel::kFleet);
+    }
+  }
   return probes;
 }
 
@@ -112,7 +144,7 @@
   summary.from = self_;
   summary.level = report.level;
   quarantine_.Merge(report.prompt_evidence, now);
-  if (!summary.grants_only) summary.prompt_evidence = quarantine_.Share(now);
+  summary.prompt_evidence = quarantine_.Share(now);
   return summary;
 }
 
@@ -122,8 +154,11 @@
       summary.level == HubLevel::kZone ? zone_selector_ : fleet_selector_;
   selector.OnAnswer(summary.from, now);
   for (const auto& grant : summary.grants) granted_tokens_.OnGrant(grant, now);
+  quarantine_.Merge(summary.prompt_evidence, now);
+  // Grants that were queued answer no report and come without evidence.
+  const bool answers_report = summary.sequence > 0;
+  if (summary.from != self_ && answers_report) caught_up_ = true;
   if (!summary.grants_only) {
-    quarantine_.Merge(summary.prompt_evidence, now);
     zone_hub_.SetOtherZonesLoads(summary.other_daemons_loads);
   }
 }
--- a/modules/fleet/member/fleet_member.h
+++ b/modules/fleet/member/fleet_member.h
@@ -41,6 +41,11 @@
   // A report with token requests that the zone hub has not answered for this
   // long goes to the fleet hub.
   Duration zone_hub_patience = std::chrono::milliseconds(40);
+  // A daemon that has sent no report for this long has been paused or has just
+  // started. It then asks others for what it missed, for `catch_up_time` at
+  // most.
+  Duration pause_time = std::chrono::milliseconds(1500);
+  Duration catch_up_time = std::chrono::milliseconds(500);
 };
 
 // One daemon's part in the levels of hubs: chooses the hub for each report and
@@ -74,8 +79,8 @@
   // if an urgent report would be empty.
   auto PrepareReport(FleetReport report, Timestamp now)
       -> std::optional<OutgoingReport>;
-  // Unresponsive hubs to which an empty urgent report should be sent now, and
-  // their level.
+  // Daemons to which an empty urgent report should be sent now, and the level
+  // at which they are asked: unresponsive hubs, and others to catch up with.
   auto TakeProbes(Timestamp now)
       -> std::vector<std::pair<InstanceId, HubLevel>>;
   // Answers a report as the hub of the level stated in it.
@@ -88,6 +93,10 @@
   auto TakeAvailableGrants(Timestamp now)
       -> std::vector<std::pair<InstanceId, FleetSummary>>;
 
+  // Whether this daemon may have missed what others know of prompt parts,
+  // because it has just started or was paused, and waits for them to tell.
+  auto CatchingUp(Timestamp now) const -> bool;
+
   // Whether the hub of the last report answers. If not, this daemon grants
   // itself tokens from its own share of the limits.
   auto Connected(Timestamp now) const -> bool;
@@ -115,6 +124,8 @@
 
  private:
   auto ChooseHub(bool urgent_only, Timestamp now) -> InstanceId;
+  // Begins to catch up if the last report is too long ago.
+  auto NotePause(Timestamp now) -> void;
 
   InstanceId self_;
   AvailabilityZoneId zone_;
@@ -130,6 +141,15 @@
   Duration zone_interval_;
   // Level of the hub of the last report.
   HubLevel level_ = HubLevel::kFleet;
+  // Other daemons registered in the store, in order of their ids.
+  std::vector<InstanceId> others_;
+  bool members_known_ = false;
+  // When a report was last prepared; zero before the first one.
+  Timestamp prepared_at_{};
+  // Whether another daemon has answered since the last pause.
+  bool caught_up_ = false;
+  bool catch_up_probes_due_ = false;
+  Timestamp catch_up_until_{};
 };
 
 }  // namespace dotterellug::fleet
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -120,8 +120,9 @@
   // Level at which the hub answers.
   HubLevel level = HubLevel::kFleet;
   // Answers an urgent report, or delivers tokens that became available later.
-  // The fields other than `from`, `level`, `sequence` and
-  // `grants` are not filled in.
+  // The fields other than `from`, `level`, `sequence`, `grants` and
+  // `prompt_evidence` are not filled in; delivered tokens have no sequence
+  // number and no evidence.
   bool grants_only = false;
   // Sequence number of the report that is answered.
   std::int64_t sequence = 0;
--- a/modules/fleet/tests/simulated_fleet.h
+++ b/modules/fleet/tests/simulated_fleet.h
@@ -51,25 +51,18 @@
         options.limit_factor * options.request_rate *
         static_cast<double>(options.daemons * options.request_tokens) /
         options.accounts);
-    const RateLimit limit{Tokens(per_second), Tokens(2 * per_second)};
-    std::vector<RegisteredDaemon> members;
+    limit_ = RateLimit{Tokens(per_second), Tokens(2 * per_second)};
     for (int i = 0; i < options.daemons; ++i) {
       const bool large = i / options.zones < options.large_per_zone;
-      members.push_back(
+      members_.push_back(
           {InstanceId("d" + std::to_string(i)),
            AvailabilityZoneId("z" + std::to_string(i % options.zones)),
            large ? options.large_cores : options.small_cores});
     }
-    for (const auto& member : members) {
+    for (const auto& member : members_) {
       auto daemon = std::make_unique<Daemon>();
       daemon->registered = member;
-      daemon->member = std::make_unique<FleetMember>(
-          member.id, member.zone, daemon->tokens, daemon->quarantine,
-          [limit](const ClientAccountId&) { return limit; }, options.member);
-      daemon->member->SetMembers(members);
-      for (int i = 0; i < options.accounts; ++i) {
-        daemon->member->Hub().EnsureBucket(Account(i), Now());
-      }
+      MakeMember(*daemon);
       daemons_[member.id] = std::move(daemon);
     }
     for (auto& [id, daemon] : daemons_) {
@@ -126,12 +119,46 @@
     daemons_.at(id)->slowness = factor;
   }
   auto Stop(const InstanceId& id) -> void { daemons_.at(id)->stopped = true; }
+  // Starts a stopped daemon as a new process that knows nothing.
+  auto Restart(const InstanceId& id) -> void {
+    auto& daemon = *daemons_.at(id);
+    ++daemon.incarnation;
+    daemon.tokens = GrantedTokens();
+    daemon.quarantine = quarantine::PromptQuarantine();
+    daemon.waiting.clear();
+    daemon.hub = InstanceId();
+    MakeMember(daemon);
+    daemon.stopped = false;
+    Schedule(daemon, 0);
+  }
+
+  // For traffic of other kinds at the daemons of the fleet.
+  auto After(double delay, std::function<void()> action) -> void {
+    At(now_ + delay, std::move(action));
+  }
+  auto Seconds() const -> double { return now_; }
+  auto Now() const -> Timestamp { return Timestamp(FromSeconds(1000 + now_)); }
+  auto Daemons() const -> std::vector<InstanceId> {
+    std::vector<InstanceId> ids;
+    for (const auto& member : members_) ids.push_back(member.id);
+    return ids;
+  }
+  auto Runs(const InstanceId& id) const -> bool {
+    return !daemons_.at(id)->stopped;
+  }
+  auto CatchingUp(const InstanceId& id) const -> bool {
+    return daemons_.at(id)->member->CatchingUp(Now());
+  }
+  auto Quarantine(const InstanceId& id) -> quarantine::PromptQuarantine& {
+    return daemons_.at(id)->quarantine;
+  }
   // Loses this fraction of all datagrams from now on.
   auto LoseDatagrams(double fraction) -> void { loss_ = fraction; }
   // Datagrams between daemons of these zones are lost in both directions.
   auto CutZones(int a, int b) -> void {
     cut_.insert({std::min(a, b), std::max(a, b)});
   }
+  auto HealCuts() -> void { cut_.clear(); }
 
   // Tokens spent by all callers of an account in the last `seconds`.
   auto SpentOf(int account, double seconds) const -> double {
@@ -168,6 +195,7 @@
     double periodic_due = 0;
     double reported_at = -1;
     int timer = 0;
+    std::int64_t incarnation = 1;
     bool report_soon = false;
     bool grants_scheduled = false;
     InstanceId hub;
@@ -186,10 +214,21 @@
     }
   };
 
+  auto MakeMember(Daemon& daemon) -> void {
+    daemon.member = std::make_unique<FleetMember>(
+        daemon.registered.id, daemon.registered.zone, daemon.tokens,
+        daemon.quarantine,
+        [limit = limit_](const ClientAccountId&) { return limit; },
+        options_.member);
+    daemon.member->SetMembers(members_);
+    for (int i = 0; i < options_.accounts; ++i) {
+      daemon.member->Hub().EnsureBucket(Account(i), Now());
+    }
+  }
+
   static auto Account(int index) -> ClientAccountId {
     return ClientAccountId("c" + std::to_string(index));
   }
-  auto Now() const -> Timestamp { return Timestamp(FromSeconds(1000 + now_)); }
   auto Uniform() -> double {
     return static_cast<double>(random_.Below(1'000'000)) / 1e6;
   }
@@ -200,10 +239,12 @@
   static auto Entries(const FleetMessage& message) -> std::size_t {
     if (const auto* report = std::get_if<FleetReport>(&message)) {
       return report->upstreams.size() + report->models.size() +
-             report->included_daemons.size() + report->token_requests.size();
+             report->included_daemons.size() + report->token_requests.size() +
+             report->prompt_evidence.size();
     }
     const auto& summary = std::get<FleetSummary>(message);
-    return summary.other_daemons_loads.size() + summary.grants.size();
+    return summary.other_daemons_loads.size() + summary.grants.size() +
+           summary.prompt_evidence.size();
   }
   // Charges a daemon for a message and returns when it is done with it.
   auto Charge(Daemon& daemon, const FleetMessage& message) -> double {
@@ -280,7 +321,7 @@
         daemon.member->HasZoneHubs() && now_ + 0.005 < daemon.periodic_due;
     FleetReport report;
     report.from = daemon.registered.id;
-    report.incarnation = Incarnation(1);
+    report.incarnation = Incarnation(daemon.incarnation);
     report.sequence = ++daemon.sequence;
     report.urgent_only = urgent_only;
     for (const auto& caller : daemon.waiting) {
@@ -315,7 +356,7 @@
     for (const auto& [hub, level] : daemon.member->TakeProbes(Now())) {
       FleetReport probe;
       probe.from = daemon.registered.id;
-      probe.incarnation = Incarnation(1);
+      probe.incarnation = Incarnation(daemon.incarnation);
       probe.sequence = ++daemon.sequence;
       probe.level = level;
       probe.urgent_only = true;
@@ -407,6 +448,8 @@
   }
 
   Options options_;
+  RateLimit limit_;
+  std::vector<RegisteredDaemon> members_;
   Random random_{20261204};
   std::map<InstanceId, std::unique_ptr<Daemon>> daemons_;
   std::priority_queue<Event> events_;
