Make the soak end engines at a prompt part, and refute crashes by older requests only

The fault soak sends streams with shared prompt parts now; with odd seeds some of them have a part at which the stand-in engines end. The ledger checks that at most three of these run from 3 s after the fifth end, at daemons to which nothing was done, and that sound streams are served half as often as before or more.

An answer refutes a crash only if the request was sent to the process before the crash, so it came on a connection to that process (AnAnswerToALaterRequestRefutesNoCrash).

--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -93,16 +93,8 @@
 }
 
 auto GatewayContext::UpdateQuarantine(Timestamp now) -> void {
-  const auto last_answer = [&](const quarantine::UpstreamProcess& process)
-      -> std::optional<Timestamp> {
-    const auto upstream = upstreams.Find(process.upstream);
-    if (!upstream || upstream->record.started_ms != process.started_ms) {
-      return std::nullopt;
-    }
-    return upstream->heard_at;
-  };
   bool quarantined = false;
-  for (const auto& change : quarantine.Update(last_answer, now)) {
+  for (const auto& change : quarantine.Update(now)) {
     quarantined = quarantined || change.quarantined;
     LogQuarantineChange(log, change, now);
   }
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -191,7 +191,8 @@
     -> void {
   context_.quarantine.RecordRejection(part, now);
   quarantined_part_ = part;
-  Refuse(ran_ > 0 ? 502 : 503, "quarantined_prompt_part",
+  if (ran_ > 0) return Refuse(502, "quarantined_prompt_part", std::nullopt);
+  Refuse(503, "quarantined_prompt_part",
          context_.quarantine.TimeUntilReview(part, now));
 }
 
@@ -512,7 +513,7 @@
   }
   attempt.answer = answer;
   attempt.head_seen = true;
-  attempt.upstream->heard_at = MonotonicNow();
+  RecordAnswerPart(MonotonicNow());
   attempt.status = head.status;
   if (answer.not_run) {
     --ran_;
@@ -596,11 +597,7 @@
     if (!whole.empty()) {
       const auto now = MonotonicNow();
       trace_.Passed(now);
-      attempt.upstream->heard_at = now;
-      if (!attempt.works_on_prompt && !AtBeginning()) {
-        attempt.works_on_prompt = true;
-        context_.quarantine.RecordWorking(request_.shared_parts, now);
-      }
+      RecordAnswerPart(now);
       if (!attempt.first_event_seen) {
         attempt.first_event_seen = true;
         attempt.upstream->RecordSuccess(now);
@@ -731,6 +728,16 @@
   return {record.id, record.started_ms};
 }
 
+auto RequestExchange::RecordAnswerPart(Timestamp now) -> void {
+  auto& attempt = *attempt_;
+  if (context_.quarantine.ReviewsCrashes()) {
+    context_.quarantine.RecordAnswer(UpstreamProcess(), attempt.sent_at, now);
+  }
+  if (attempt.works_on_prompt || AtBeginning()) return;
+  attempt.works_on_prompt = true;
+  context_.quarantine.RecordWorking(request_.shared_parts, now);
+}
+
 auto RequestExchange::RecordBreak(ExchangeEnd end, Timestamp now) -> bool {
   const auto process = UpstreamProcess();
   trace_.BrokenOff(request_,
--- a/extras/soak/callers.cc
+++ b/extras/soak/callers.cc
@@ -15,6 +15,10 @@
 // connection although an open one is at hand.
 constexpr double kPatientPart = 0.25;
 constexpr double kNewConnectionPart = 0.2;
+// Part of the streams that have the part at which engines end.
+constexpr double kBadPart = 0.06;
+constexpr const char* kSharedPart = "5c1e07a2";
+constexpr std::size_t kSecondParts = 6;
 constexpr std::size_t kMostKept = 16;
 
 auto PathOf(CallKind kind) -> std::string {
@@ -112,6 +116,10 @@
                               : kCallLimit;
   call->connection = Connect(*daemon);
   if (!call->connection) return;
+  const bool bad =
+      stream && !patient && !bad_part.empty() && random_.Uniform() < kBadPart;
+  if (bad) facts.bad_part = bad_part;
+  facts.shares_prompt = stream && !patient && facts.account == "open";
   call->record = ledger_.calls.size();
   ledger_.calls.push_back(facts);
   eventhttp::ExchangeHandlers handlers;
@@ -125,11 +133,17 @@
   };
   platform::CallerRequest request{facts.id, PathOf(facts.kind), facts.key,
                                   FromSeconds(facts.time_limit), ""};
-  if (stream) request.model = models[random_.Below(models.size())];
+  if (stream) {
+    request.model = models[random_.Below(models.size())];
+    request.prompt_parts = {kSharedPart,
+                            "ab" + std::to_string(random_.Below(kSecondParts))};
+  }
   if (patient) {
     request.path = "/draft/x";
     request.model = patient_model;
   }
+  if (bad) request.prompt_parts.push_back(bad_part);
+  if (stream) request.prompt_parts.push_back("f" + std::to_string(sent_));
   call->connection->Exchange(platform::EncodeCallerRequest(request),
                              std::move(handlers));
 }
--- a/extras/soak/callers.h
+++ b/extras/soak/callers.h
@@ -39,6 +39,10 @@
   // A model whose callers wait longer than a daemon's grace period.
   std::string patient_model;
 
+  // A prompt part at which engines end. Requests with it share the other parts
+  // of their prompts with sound ones; none are sent while it is empty.
+  std::string bad_part;
+
   // Begins to send, one request after each pause.
   auto Start(Duration pause) -> void;
   auto Stop() -> void { timer_.cancel(); }
--- a/extras/soak/ledger.cc
+++ b/extras/soak/ledger.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdio>
 #include <deque>
+#include <limits>
+#include <optional>
 #include <set>
 
 namespace dotterellug::soak {
@@ -41,6 +43,7 @@
   CheckLimits(lines);
   CheckKeys(lines);
   CheckOrders(lines);
+  CheckBadParts(lines);
   return lines;
 }
 
@@ -221,4 +224,64 @@
   }
 }
 
+auto Ledger::ServedPart(Seconds begin, Seconds end) const
+    -> std::optional<double> {
+  std::size_t sent = 0;
+  std::size_t served = 0;
+  for (const auto& call : calls) {
+    if (!call.shares_prompt || !call.bad_part.empty()) continue;
+    if (call.sent_at < begin || call.sent_at > end || call.ended_at < 0) {
+      continue;
+    }
+    if (!Calm(call.daemon, call.sent_at, call.ended_at,
+              {FaultScope::kProcess, FaultScope::kPlannedStop,
+               FaultScope::kUpstream})) {
+      continue;
+    }
+    ++sent;
+    if (call.status == 200) ++served;
+  }
+  if (sent < bounds.enough) return std::nullopt;
+  return static_cast<double>(served) / static_cast<double>(sent);
+}
+
+// Requests with a part that ends engines stop reaching them, and those that
+// share their other parts go on.
+auto Ledger::CheckBadParts(Lines& lines) const -> void {
+  if (crashes.empty()) return;
+  const auto last = std::min(crashes.size(), bounds.crashes) - 1;
+  const auto settled = crashes[last].at + bounds.crash_contact;
+  std::map<std::string, const CallRecord*> bad_calls;
+  for (const auto& call : calls) {
+    if (!call.bad_part.empty()) bad_calls[call.id] = &call;
+  }
+  std::size_t late = 0;
+  for (const auto& run : runs) {
+    const auto call = bad_calls.find(run.id);
+    if (call == bad_calls.end() || run.at <= settled) continue;
+    if (crashes.size() < bounds.crashes) continue;
+    if (!Calm(call->second->daemon, run.at, run.at,
+              {FaultScope::kProcess, FaultScope::kPlannedStop,
+               FaultScope::kStore})) {
+      continue;
+    }
+    ++late;
+  }
+  if (late > bounds.runs_after_crashes) {
+    lines.push_back(std::to_string(late) + " requests with part " +
+                    crashes.front().part + " ran later than " + Text(settled) +
+                    "; " + std::to_string(crashes.size()) +
+                    " engines ended in all");
+  }
+  const auto before = ServedPart(0, crashes.front().at);
+  const auto after = ServedPart(crashes[last].at + 2 * bounds.crash_contact,
+                                std::numeric_limits<Seconds>::max());
+  if (before && after && *after < bounds.served_part * *before) {
+    lines.push_back("sound requests that share their prompts with part " +
+                    crashes.front().part + " were served in " +
+                    std::to_string(*after) + " of the cases, before in " +
+                    std::to_string(*before));
+  }
+}
+
 }  // namespace dotterellug::soak
--- a/extras/soak/ledger.h
+++ b/extras/soak/ledger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,10 @@
   std::string account;
   std::string key;
   std::int64_t tokens = 0;
+  // The prompt part at which engines end; empty if it has none.
+  std::string bad_part;
+  // Whether its prompt shares all other parts with requests that have one.
+  bool shares_prompt = false;
   // The daemon that took it, by index.
   std::size_t daemon = 0;
   Seconds sent_at = 0;
@@ -55,6 +60,12 @@
   Seconds at = 0;
 };
 
+// The end of an engine because of a prompt part.
+struct CrashRecord {
+  std::string part;
+  Seconds at = 0;
+};
+
 enum class FaultScope {
   // A daemon's process was killed or paused: its requests may be lost.
   kProcess,
@@ -113,6 +124,15 @@
   Seconds soon = 3;
   // Orders of two holders are this far apart.
   Seconds lease = 3;
+  // Crashes by one prompt part after which, and after this time, at most some
+  // more requests with it run at engines.
+  std::size_t crashes = 5;
+  Seconds crash_contact = 3;
+  std::size_t runs_after_crashes = 3;
+  // From twice that time, sound requests are served at least this part as often
+  // as before, where there are enough of both.
+  double served_part = 0.5;
+  std::size_t enough = 20;
   // After a daemon was paused its late orders do not count for this long.
   Seconds thaw = 0.3;
 };
@@ -126,6 +146,7 @@
   std::vector<OrderRecord> orders;
   std::vector<FaultRecord> faults;
   std::vector<KeyRemoval> key_removals;
+  std::vector<CrashRecord> crashes;
   std::map<std::string, AccountBound> accounts;
   LedgerBounds bounds;
 
@@ -149,6 +170,10 @@
   auto CheckLimits(Lines& lines) const -> void;
   auto CheckKeys(Lines& lines) const -> void;
   auto CheckOrders(Lines& lines) const -> void;
+  auto CheckBadParts(Lines& lines) const -> void;
+  // The part of the sound requests sent in this time that was served; nothing
+  // if there are too few.
+  auto ServedPart(Seconds begin, Seconds end) const -> std::optional<double>;
 };
 
 }  // namespace dotterellug::soak
--- a/extras/soak/tests/ledger_tests.cc
+++ b/extras/soak/tests/ledger_tests.cc
@@ -159,5 +159,40 @@
   EXPECT_EQ(Count(), 1U);
 }
 
+TEST_F(LedgerTest, FindsRequestsThatRunAfterTheirPartEndedFiveEngines) {
+  for (int i = 0; i < 5; ++i) ledger_.crashes.push_back({"bad", 10.0 + i});
+  for (int i = 0; i < 4; ++i) {
+    auto call = Call("b" + std::to_string(i), 502);
+    call.kind = CallKind::kStream;
+    call.bad_part = "bad";
+    ledger_.calls.push_back(call);
+    ledger_.runs.push_back({call.id, "a", "u", 17.1});
+  }
+  EXPECT_EQ(Count(), 1U);
+  ledger_.runs.back().at = 16.9;
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerTest, FindsSoundRequestsThatAreRejectedBecauseOfABadPart) {
+  ledger_.crashes = {{"bad", 20}};
+  for (int i = 0; i < 60; ++i) {
+    auto call = Call(std::to_string(i), i < 30 || i >= 50 ? 200 : 503);
+    call.kind = CallKind::kStream;
+    call.shares_prompt = true;
+    call.sent_at = i < 30 ? 10 : 40;
+    call.ended_at = call.sent_at + 1;
+    ledger_.calls.push_back(call);
+    if (call.status == 200) {
+      ledger_.runs.push_back({call.id, "a", "u", call.sent_at + 0.1});
+    }
+  }
+  EXPECT_EQ(Count(), 1U);
+  for (auto& call : ledger_.calls) {
+    call.status = 200;
+    call.has_receipt = call.whole = true;
+  }
+  EXPECT_EQ(Count(), 0U);
+}
+
 }  // namespace
 }  // namespace dotterellug::soak
--- a/extras/soak/world.cc
+++ b/extras/soak/world.cc
@@ -36,6 +36,12 @@
 constexpr double kLongestRollPart = 0.4;
 constexpr Seconds kLagInterval = 0.02;
 constexpr std::uint64_t kPlannedWorkSeeds = 3;
+// Seeds that are not multiples have a prompt part that ends engines.
+constexpr std::uint64_t kSeedsWithoutBadPart = 2;
+constexpr const char* kBadPart = "badbad01";
+constexpr Seconds kBadPartBegin = 4;
+constexpr Seconds kShortestRestart = 0.5;
+constexpr Seconds kLongestRestart = 3;
 const std::vector<std::string> kZones{"a", "b"};
 constexpr const char* kPlainPool = "plain";
 constexpr const char* kEnginePool = "engines";
@@ -139,6 +145,11 @@
                                          const auto& account) {
     ledger_.runs.push_back({request, account, id, Now()});
   };
+  observer.on_crash = [this, id = plan.id] {
+    ledger_.crashes.push_back({kBadPart, Now()});
+    Note(id + " ends under a prompt", FaultScope::kUpstream, -1,
+         kLongestRestart);
+  };
   observer.on_order = [this, id = plan.id](const auto& holder, auto fence) {
     ledger_.orders.push_back({id, holder, fence, Now()});
   };
@@ -146,6 +157,7 @@
       loop_, store_, std::move(observer), std::move(plan), seed));
   auto& upstream = *upstreams_.back();
   DrawLoadTime(upstream);
+  if (!callers_.bad_part.empty()) SetCrashPlan(upstream);
   upstream.backend.Register(upstream.link.Address());
 }
 
@@ -236,6 +248,9 @@
     After(kFaultPause * 2 * random_.Uniform(), next);
   };
   After(kCalmBegin, next);
+  if (plan_.seed % kSeedsWithoutBadPart != 0) {
+    After(kBadPartBegin, [this] { BeginBadPart(); });
+  }
   loop_.run_for(std::chrono::duration_cast<std::chrono::nanoseconds>(
       FromSeconds(begin + plan_.seconds - Now())));
   callers_.Stop();
@@ -309,6 +324,17 @@
   }
 }
 
+auto World::BeginBadPart() -> void {
+  callers_.bad_part = kBadPart;
+  for (auto& upstream : upstreams_) SetCrashPlan(*upstream);
+}
+
+auto World::SetCrashPlan(Upstream& upstream) -> void {
+  const auto restart = kShortestRestart +
+                       (kLongestRestart - kShortestRestart) * random_.Uniform();
+  upstream.backend.SetCrashPlan({kBadPart, FromSeconds(restart)});
+}
+
 auto World::ReloadDaemon(std::size_t index) -> void {
   Note("reload", FaultScope::kPlannedWork, static_cast<int>(index), 0);
   daemons_[index]->process.Signal(SIGHUP);
--- a/extras/soak/world.h
+++ b/extras/soak/world.h
@@ -76,6 +76,9 @@
   auto HarmUpstream(std::size_t index, Seconds duration) -> void;
   auto ReplaceUpstream(std::size_t index) -> void;
   auto ChangeKeys() -> void;
+  // From now on callers send requests with a prompt part that ends engines.
+  auto BeginBadPart() -> void;
+  auto SetCrashPlan(Upstream& upstream) -> void;
 
   WorldPlan plan_;
   boost::asio::io_context loop_;
--- a/modules/fleet/tests/fleet_tests.cc
+++ b/modules/fleet/tests/fleet_tests.cc
@@ -97,6 +97,49 @@
   EXPECT_EQ(read.changes.removed[0], UpstreamId("gone"));
 }
 
+TEST(FleetCodecTest, RoundTripsEvidenceOnPromptParts) {
+  quarantine::SharedEvidence part;
+  part.part = PromptPartId("5c1e07a2");
+  part.depth = 2;
+  part.rejected_age = Duration(7);
+  part.trials = 1;
+  part.crashes = {{{UpstreamId("u1"), 1785018101204}, Duration(300), true},
+                  {{UpstreamId("u2"), 0}, Duration(200), false, true}};
+  auto report = MakeReport(1, 7, 100);
+  report.prompt_evidence = {part};
+  FleetSummary summary;
+  summary.prompt_evidence = {part, part};
+  const auto decoded_report = DecodeFleetMessage(EncodeFleetMessage(report));
+  const auto decoded_summary = DecodeFleetMessage(EncodeFleetMessage(summary));
+  ASSERT_TRUE(decoded_report);
+  ASSERT_TRUE(decoded_summary);
+  EXPECT_EQ(std::get<FleetSummary>(*decoded_summary).prompt_evidence.size(),
+            2U);
+  const auto& copy = std::get<FleetReport>(*decoded_report).prompt_evidence;
+  ASSERT_EQ(copy.size(), 1U);
+  EXPECT_EQ(copy[0].part, part.part);
+  EXPECT_EQ(copy[0].depth, 2);
+  EXPECT_FALSE(copy[0].worked_age);
+  EXPECT_EQ(copy[0].rejected_age, Duration(7));
+  EXPECT_EQ(copy[0].trials, 1);
+  ASSERT_EQ(copy[0].crashes.size(), 2U);
+  EXPECT_EQ(copy[0].crashes[0].process, part.crashes[0].process);
+  EXPECT_EQ(copy[0].crashes[0].age, Duration(300));
+  EXPECT_TRUE(copy[0].crashes[0].answer_begun);
+  EXPECT_FALSE(copy[0].crashes[0].refuted);
+  EXPECT_TRUE(copy[0].crashes[1].refuted);
+}
+
+// Guards against bytes on a day without crashes.
+TEST(FleetCodecTest, EvidenceOnPromptPartsTakesNoBytesIfThereIsNone) {
+  const auto report =
+      nlohmann::json::from_cbor(EncodeFleetMessage(MakeReport(1, 7, 100)));
+  const auto summary =
+      nlohmann::json::from_cbor(EncodeFleetMessage(FleetSummary()));
+  EXPECT_EQ(report.size(), 14U);
+  EXPECT_EQ(summary.size(), 19U);
+}
+
 // Guards against daemons that do not understand one another while they are
 // replaced one by one by a new version.
 TEST(FleetCodecTest, ReadsMessagesOfThePreviousVersion) {
--- a/modules/fleet/tests/prompt_traffic.h
+++ b/modules/fleet/tests/prompt_traffic.h
@@ -91,6 +91,7 @@
     InstanceId daemon;
     std::vector<PromptPartId> parts;
     int attempt = 1;
+    Timestamp sent_at{};
     bool begun = false;
     bool works = false;
     bool ended = false;
@@ -208,6 +209,7 @@
     if (alive.empty()) return;
     const auto index = alive[random_.Below(alive.size())];
     auto& engine = engines_[index];
+    request->sent_at = fleet_.Now();
     engine.requests.push_back(request);
     if (auto* bad = BadPartOf(*request)) {
       const auto& crashes = bad->crashes;
@@ -232,7 +234,7 @@
   auto Begin(int index, const std::shared_ptr<Request>& request) -> void {
     request->begun = true;
     const auto process = engines_[index].process;
-    Hear(request->daemon, process);
+    Hear(*request, process);
     if (auto* bad = BadPartOf(*request)) {
       fleet_.After(0.02, [this, bad, request, index, process] {
         if (!At(index, process, *request)) return;
@@ -245,22 +247,25 @@
     fleet_.After(2 * kEventInterval, [this, request, index, process] {
       if (!At(index, process, *request)) return;
       request->works = true;
-      Hear(request->daemon, process);
+      Hear(*request, process);
       if (!fleet_.Runs(request->daemon)) return;
       fleet_.Quarantine(request->daemon)
           .RecordWorking(request->parts, fleet_.Now());
     });
     fleet_.After(kAnswerTime, [this, request, index, process] {
       if (!At(index, process, *request)) return;
-      Hear(request->daemon, process);
+      Hear(*request, process);
       request->ended = true;
       Forget(index, request);
     });
   }
 
-  auto Hear(const InstanceId& daemon,
-            const quarantine::UpstreamProcess& process) -> void {
-    heard_[daemon][process] = fleet_.Now();
+  // The request's daemon reads part of an answer.
+  auto Hear(const Request& request, const quarantine::UpstreamProcess& process)
+      -> void {
+    if (!fleet_.Runs(request.daemon)) return;
+    fleet_.Quarantine(request.daemon)
+        .RecordAnswer(process, request.sent_at, fleet_.Now());
   }
   auto Forget(int index, const std::shared_ptr<Request>& request) -> void {
     auto& requests = engines_[index].requests;
@@ -317,15 +322,8 @@
   }
 
   auto Update(const InstanceId& daemon) -> void {
-    const auto last_answer = [&](const quarantine::UpstreamProcess& process)
-        -> std::optional<Timestamp> {
-      const auto& heard = heard_[daemon];
-      const auto found = heard.find(process);
-      if (found == heard.end()) return std::nullopt;
-      return found->second;
-    };
     auto& quarantine = fleet_.Quarantine(daemon);
-    for (const auto& change : quarantine.Update(last_answer, fleet_.Now())) {
+    for (const auto& change : quarantine.Update(fleet_.Now())) {
       if (!change.quarantined) continue;
       const auto& part = change.evidence.part;
       const auto bad = bad_.find(part);
@@ -372,7 +370,6 @@
   Random random_;
   std::map<int, Engine> engines_;
   std::map<PromptPartId, BadPart> bad_;
-  std::map<InstanceId, std::map<quarantine::UpstreamProcess, Timestamp>> heard_;
   std::int64_t starts_ = 0;
   Outcome outcome_;
 };
--- a/modules/quarantine/table/prompt_quarantine.cc
+++ b/modules/quarantine/table/prompt_quarantine.cc
@@ -357,15 +357,24 @@
   return causes;
 }
 
-auto PromptQuarantine::Refute(const LastAnswer& last_answer, Timestamp now)
-    -> void {
+auto PromptQuarantine::CollectReviewed(Timestamp now) -> void {
+  reviewed_.clear();
+  for (const auto& [part, entry] : entries_) {
+    for (const auto& crash : entry.evidence.crashes) {
+      if (crash.refuted || now - crash.at > options_.review_time) continue;
+      reviewed_.insert(crash.process);
+    }
+  }
+}
+
+auto PromptQuarantine::RecordAnswer(const UpstreamProcess& process,
+                                    Timestamp sent_at, Timestamp now) -> void {
+  if (reviewed_.empty() || reviewed_.count(process) == 0) return;
   for (auto& [part, entry] : entries_) {
     for (auto& crash : entry.evidence.crashes) {
-      if (crash.refuted || now - crash.at > options_.review_time) continue;
-      const auto answered_at = last_answer(crash.process);
-      if (!answered_at || *answered_at < crash.at + options_.refutation_delay) {
-        continue;
-      }
+      if (crash.refuted || !(crash.process == process)) continue;
+      if (sent_at > crash.at) continue;
+      if (now < crash.at + options_.refutation_delay) continue;
       crash.refuted = true;
       Touch(entry, now);
     }
@@ -391,12 +400,14 @@
   return changes;
 }
 
-auto PromptQuarantine::Update(const LastAnswer& last_answer, Timestamp now)
-    -> std::vector<QuarantineChange> {
+auto PromptQuarantine::Update(Timestamp now) -> std::vector<QuarantineChange> {
   std::vector<QuarantineChange> changes;
-  if (entries_.empty()) return changes;
+  if (entries_.empty()) {
+    reviewed_.clear();
+    return changes;
+  }
   if (now - changed_at_ <= options_.review_time) {
-    Refute(last_answer, now);
+    CollectReviewed(now);
     const auto causes = FindCauses(now);
     for (auto& [part, entry] : entries_) {
       const bool quarantined = causes.count(part) > 0;
--- a/modules/quarantine/table/prompt_quarantine.h
+++ b/modules/quarantine/table/prompt_quarantine.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -103,14 +102,15 @@
   // Adds what another daemon knows.
   auto Merge(const std::vector<SharedEvidence>& evidence, Timestamp now)
       -> void;
-  // Returns the last answer of a process to this daemon; nothing if it does not
-  // know the process.
-  using LastAnswer =
-      std::function<std::optional<Timestamp>(const UpstreamProcess&)>;
-  // Brings the decision up to date and returns what it changed. `last_answer`
-  // refutes crashes.
-  auto Update(const LastAnswer& last_answer, Timestamp now)
-      -> std::vector<QuarantineChange>;
+  // A process sent part of an answer to an attempt that was sent to it at
+  // `sent_at`. Refutes crashes of the process between the two: the answer came
+  // on a connection to the process that is said to have ended.
+  auto RecordAnswer(const UpstreamProcess& process, Timestamp sent_at,
+                    Timestamp now) -> void;
+  // Whether there are crashes that an answer could refute.
+  auto ReviewsCrashes() const -> bool { return !reviewed_.empty(); }
+  // Brings the decision up to date and returns what it changed.
+  auto Update(Timestamp now) -> std::vector<QuarantineChange>;
 
   auto Empty() const -> bool { return entries_.empty(); }
   // Number of parts under suspicion, quarantined or not.
@@ -140,7 +140,8 @@
                  const std::set<PromptPartId>& found, Timestamp now) const
       -> const Entry*;
   auto FindCauses(Timestamp now) const -> std::set<PromptPartId>;
-  auto Refute(const LastAnswer& last_answer, Timestamp now) -> void;
+  // Collects the processes whose crashes an answer could refute.
+  auto CollectReviewed(Timestamp now) -> void;
   auto Touch(Entry& entry, Timestamp now) -> void {
     entry.changed_at = now;
     changed_at_ = now;
@@ -163,6 +164,8 @@
   WorkingParts working_;
   std::map<PromptPartId, Entry> entries_;
   std::size_t quarantined_count_ = 0;
+  // Processes with crashes that an answer could refute, as of the last update.
+  Processes reviewed_;
   // Last change of any entry.
   Timestamp changed_at_{};
   Timestamp expired_at_{};
--- a/modules/quarantine/tests/prompt_quarantine_tests.cc
+++ b/modules/quarantine/tests/prompt_quarantine_tests.cc
@@ -28,10 +28,6 @@
   return {UpstreamId("u" + std::to_string(number)), number};
 }
 
-auto Unknown(const UpstreamProcess&) -> std::optional<Timestamp> {
-  return std::nullopt;
-}
-
 auto IsQuarantined(const PromptQuarantine& quarantine, const std::string& part)
     -> bool {
   return quarantine.FindQuarantined(MakeParts({part})) != nullptr;
@@ -48,7 +44,7 @@
     }
   }
   auto Update() -> std::vector<QuarantineChange> {
-    return quarantine_.Update(Unknown, At(now_));
+    return quarantine_.Update(At(now_));
   }
 
   PromptQuarantine quarantine_;
@@ -126,14 +122,29 @@
 // Guards against blame for answers that are lost while their engine lives.
 TEST_F(PromptQuarantineTest, AProcessThatAnswersLaterDidNotCrash) {
   Crash({"rare"}, 4);
-  const auto alive = [&](const UpstreamProcess&) -> std::optional<Timestamp> {
-    return At(now_);
-  };
+  Update();
+  EXPECT_TRUE(IsQuarantined(quarantine_, "rare"));
   now_ += 1;
-  quarantine_.Update(alive, At(now_));
+  for (int i = 1; i <= 4; ++i) {
+    quarantine_.RecordAnswer(Process(i), At(-1), At(now_));
+  }
+  Update();
   EXPECT_FALSE(IsQuarantined(quarantine_, "rare"));
 }
 
+// Guards against crashes that are refuted by the next process of the upstream,
+// whose start is not known yet.
+TEST_F(PromptQuarantineTest, AnAnswerToALaterRequestRefutesNoCrash) {
+  Crash({"bad"}, 4);
+  Update();
+  now_ += 1;
+  for (int i = 1; i <= 4; ++i) {
+    quarantine_.RecordAnswer(Process(i), At(now_ - 0.2), At(now_));
+  }
+  Update();
+  EXPECT_TRUE(IsQuarantined(quarantine_, "bad"));
+}
+
 TEST_F(PromptQuarantineTest, APartThatWorksElsewhereIsNotBlamed) {
   for (int i = 0; i < 10; ++i) {
     Crash({"busy"}, 1);
@@ -258,7 +269,7 @@
     }
   }
   for (auto& copy : copies) {
-    copy.Update(Unknown, At(3));
+    copy.Update(At(3));
     EXPECT_TRUE(IsQuarantined(copy, "bad"));
     EXPECT_FALSE(IsQuarantined(copy, "first"));
   }
@@ -282,7 +293,7 @@
   for (int i = 0; i < 3; ++i) {
     quarantine.RecordCrash(MakeParts({"bad"}), Process(i), true, At(i));
   }
-  quarantine.Update(Unknown, At(4));
+  quarantine.Update(At(4));
   const auto message = quarantine.Share(At(700));
   PromptQuarantine other;
   other.Merge(message, At(700));
@@ -296,7 +307,7 @@
   for (int i = 0; i < 3; ++i) {
     quarantine.RecordCrash(MakeParts({"bad"}), Process(i), true, At(i));
   }
-  quarantine.Update(Unknown, At(4));
+  quarantine.Update(At(4));
   const auto crashes = *rc::gen::inRange(1, 40);
   int name = 0;
   for (int i = 0; i < crashes; ++i) {
@@ -306,7 +317,7 @@
       parts.emplace_back("p" + std::to_string(++name));
     }
     quarantine.RecordCrash(parts, Process(100 + i), false, At(5 + 0.3 * i));
-    quarantine.Update(Unknown, At(5 + 0.3 * i));
+    quarantine.Update(At(5 + 0.3 * i));
   }
   RC_ASSERT(quarantine.PartCount() <= QuarantineOptions{}.max_parts);
   RC_ASSERT(quarantine.Share(At(5)).size() <=
@@ -341,7 +352,7 @@
   }
   std::vector<std::vector<std::string>> decisions;
   for (auto& copy : copies) {
-    copy.Update(Unknown, At(4));
+    copy.Update(At(4));
     std::vector<std::string> names;
     for (const auto& evidence : copy.Quarantined()) {
       names.push_back(evidence.part.Value());
--- a/modules/serving/fleet/upstream_view.h
+++ b/modules/serving/fleet/upstream_view.h
@@ -66,9 +66,6 @@
   // Prompt tokens of requests that have not returned their first event.
   std::int64_t prefill_tokens = 0;
   OtherDaemonsLoad other_daemons_load;
-  // When this daemon last read a response head or an event from it; zero before
-  // the first one.
-  Timestamp heard_at{};
 
   // Whether it has loaded the model and, if one is given, the adapter. True if
   // no model is given.
