Review the quarantine: order of crashes, answers that a closing connection ends

Found on reading it again. A crash that another daemon noticed earlier kept its place in the list, which counts crashes by their distance in time. A stream without length and chunks that the connection ended after one event counted as an answer beyond its beginning, so a crash could have cleared the part that caused it. An answer of a daemon that was never a hub, to the catch-up of one that starts, counted as a hub's.

--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -658,19 +658,23 @@
     if (Stream() && (within_event || without_event)) {
       return OnBroken(ExchangeEnd::kTruncated);
     }
+    // A crash may look like the end of an answer that the connection ends.
+    if (!attempt_->ends_at_close && attempt_->status / 100 == 2) {
+      context_.quarantine.RecordWorking(request_.shared_parts, now);
+    }
     ObserveServiceTime(now);
     CloseAttempt();
     session_->EndStream();
     return Finish("ok", "", status);
   }
+  if (attempt_->status / 100 == 2) {
+    context_.quarantine.RecordWorking(request_.shared_parts, now);
+  }
   ObserveServiceTime(now);
   PassWholeAnswer();
 }
 
 auto RequestExchange::ObserveServiceTime(Timestamp now) -> void {
-  if (attempt_->status / 100 == 2) {
-    context_.quarantine.RecordWorking(request_.shared_parts, now);
-  }
   // The rest of a resumed stream says nothing about whole ones.
   if (attempt_->status / 100 != 2 || ran_ > 1) return;
   context_.service_times.Observe(route_->name, MaxOutputTokens(),
--- a/modules/fleet/hub/hub_selector.cc
+++ b/modules/fleet/hub/hub_selector.cc
@@ -79,6 +79,8 @@
 }
 
 auto HubSelector::OnAnswer(const InstanceId& hub, Timestamp now) -> void {
+  // Others answer, too, when this daemon catches up.
+  if (hub != self_ && candidates_.count(hub) == 0) return;
   auto& candidate = candidates_[hub];
   if (candidate.unresponsive && !candidate.probed_at) return;
   candidate.unresponsive = false;
--- a/modules/quarantine/table/prompt_quarantine.cc
+++ b/modules/quarantine/table/prompt_quarantine.cc
@@ -7,6 +7,10 @@
 namespace dotterellug::quarantine {
 namespace {
 
+auto IsEarlier(const UpstreamCrash& a, const UpstreamCrash& b) -> bool {
+  return a.at < b.at;
+}
+
 // Removes the crash that follows another one most closely, so that those that
 // are kept go on counting as separate ones. Returns its process.
 auto RemoveDensestCrash(std::vector<UpstreamCrash>& crashes)
@@ -82,17 +86,18 @@
   if (known != crashes.end()) {
     // Ages grow on the way, so the same crash arrives with slightly different
     // times; the earliest is the best.
+    const bool earlier = crash.at < known->at;
     known->at = std::min(known->at, crash.at);
     const bool news = (crash.refuted && !known->refuted) ||
                       (crash.answer_begun && !known->answer_begun);
     known->refuted = known->refuted || crash.refuted;
     known->answer_begun = known->answer_begun || crash.answer_begun;
     if (news) Touch(entry, now);
+    if (earlier) std::stable_sort(crashes.begin(), crashes.end(), IsEarlier);
     return;
   }
-  const auto place = std::upper_bound(
-      crashes.begin(), crashes.end(), crash,
-      [](const auto& a, const auto& b) { return a.at < b.at; });
+  const auto place =
+      std::upper_bound(crashes.begin(), crashes.end(), crash, IsEarlier);
   crashes.insert(place, crash);
   if (crashes.size() > options_.max_crashes &&
       RemoveDensestCrash(crashes) == crash.process) {
@@ -416,6 +421,8 @@
       Touch(entry, now);
       changes.push_back({entry.evidence, quarantined});
     }
+  } else {
+    reviewed_.clear();
   }
   if (now - expired_at_ >= options_.expiry_interval) {
     const auto expired = Expire(now);
