--- a/daemon/gateway/quarantine_page.h
+++ b/daemon/gateway/quarantine_page.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "daemon/gateway/gateway_context.h"
 
--- a/modules/fleet/member/fleet_member.cc
+++ b/modules/fleet/member/fleet_member.cc
@@ -78,9 +78,13 @@
   return fleet_selector_.Choose(now);
 }
 
+auto FleetMember::WasPaused(Timestamp now) const -> bool {
+  return prepared_at_ == Timestamp{} ||
+         now - prepared_at_ > options_.pause_time;
+}
+
 auto FleetMember::NotePause(Timestamp now) -> void {
-  const bool paused =
-      prepared_at_ == Timestamp{} || now - prepared_at_ > options_.pause_time;
+  const bool paused = WasPaused(now);
   prepared_at_ = now;
   if (!paused) return;
   caught_up_ = false;
@@ -90,9 +94,7 @@
 
 auto FleetMember::CatchingUp(Timestamp now) const -> bool {
   if (members_known_ && others_.empty()) return false;
-  const bool paused =
-      prepared_at_ == Timestamp{} || now - prepared_at_ > options_.pause_time;
-  return paused || (!caught_up_ && now < catch_up_until_);
+  return WasPaused(now) || (!caught_up_ && now < catch_up_until_);
 }
 
 auto FleetMember::PrepareReport(FleetReport report, Timestamp now)
--- a/modules/fleet/member/fleet_member.h
+++ b/modules/fleet/member/fleet_member.h
@@ -124,6 +124,8 @@
 
  private:
   auto ChooseHub(bool urgent_only, Timestamp now) -> InstanceId;
+  // Whether no report was prepared for the pause time, or ever.
+  auto WasPaused(Timestamp now) const -> bool;
   // Begins to catch up if the last report is too long ago.
   auto NotePause(Timestamp now) -> void;
 
