--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -670,6 +670,15 @@
   return false;
 }
 
+auto Daemon::MemoryMb() const -> int {
+  std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.rfind("VmRSS:", 0) == 0) return std::atoi(&line[6]) / 1024;
+  }
+  return 0;
+}
+
 Folder::Folder() {
   std::string path =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -227,6 +227,8 @@
   auto WaitReady(double seconds) const -> bool;
   auto CallersPort() const -> int { return callers_port_; }
   auto Name() const -> const std::string& { return name_; }
+  // Memory that the process uses now; 0 if it has ended.
+  auto MemoryMb() const -> int;
 
  private:
   Recorder& record_;
