Add case 4 of the review: a late order overloads an engine that restarted

Cause: an order's precondition counts anew after a restart under the same id, and the holder of orders forgets that one of unknown outcome is under way.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 compiler=${CXX:-g++}
 flags=(-std=c++17 -O1 -Wall -Wextra -pthread)
 "$compiler" "${flags[@]}" -c standins/world.cc -o bin/world.o
-for source in [1-5]/play.cc; do
-  "$compiler" "${flags[@]}" "$source" bin/world.o -o "bin/play-$(dirname "$source")"
+for source in [1-5]/play.cc more/*/play.cc; do
+  "$compiler" "${flags[@]}" "$source" bin/world.o -o "bin/play-$(basename "$(dirname "$source")")"
 done
--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -18,6 +18,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <random>
 #include <utility>
 
 namespace review {
@@ -51,14 +52,6 @@
   return std::string(kLoopback) + ":" + std::to_string(port);
 }
 
-auto FreePort() -> int {
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  Bind(descriptor, 0);
-  const int port = PortOf(descriptor);
-  ::close(descriptor);
-  return port;
-}
-
 auto PortIsFree(int port, int type) -> bool {
   const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
   const bool free = Bind(descriptor, port);
@@ -66,16 +59,23 @@
   return free;
 }
 
-// The first of two ports in a row that are free for TCP and UDP.
-auto FreePortPair() -> int {
-  for (int i = 0; i < 200; ++i) {
-    const int port = FreePort();
-    if (port < 65'535 && PortIsFree(port, SOCK_DGRAM) &&
-        PortIsFree(port + 1, SOCK_STREAM)) {
-      return port;
+// The first of `count` ports in a row that are free for TCP and UDP. They are
+// below those that the kernel gives to outgoing connections.
+auto FreePorts(int count) -> int {
+  static std::mt19937 random{std::random_device{}()};
+  static std::set<int> given;
+  std::uniform_int_distribution<int> ports(10'000, 32'000);
+  while (true) {
+    const int first = ports(random);
+    bool free = true;
+    for (int port = first; port < first + count; ++port) {
+      free = free && given.count(port) == 0 && PortIsFree(port, SOCK_STREAM) &&
+             PortIsFree(port, SOCK_DGRAM);
     }
+    if (!free) continue;
+    for (int i = 0; i < count; ++i) given.insert(first + i);
+    return first;
   }
-  return 0;
 }
 
 auto NoDelay(int descriptor) -> void {
@@ -297,6 +297,10 @@
     if (channel < 0) continue;
     NoDelay(channel);
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (dark_) {
+      ::close(channel);
+      continue;
+    }
     channels_.insert(channel);
     threads_.emplace_back([this, channel] {
       Channel served(channel);
@@ -308,6 +312,13 @@
   }
 }
 
+auto Listener::SetDark(bool dark) -> void {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  dark_ = dark;
+  if (!dark) return;
+  for (const int channel : channels_) ::shutdown(channel, SHUT_RDWR);
+}
+
 auto Listener::Stop() -> void {
   if (stopped_.exchange(true)) return;
   accepting_.join();
@@ -503,26 +514,94 @@
   return runs_;
 }
 
-// Orders load and unload adapters at once.
-auto Upstream::TakeOrder(const std::string& body, int& status) -> void {
-  const auto order = Json::parse(body, nullptr, false);
+Upstream::~Upstream() {
+  listener_.Stop();
+  for (auto& thread : later_) thread.join();
+}
+
+auto Upstream::CountAdapters() const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [model, adapters] : held_) count += adapters.size();
+  return count;
+}
+
+auto Upstream::AdapterCount() const -> std::size_t {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return CountAdapters();
+}
+
+auto Upstream::DelayOrder(const std::string& adapter, double seconds) -> void {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  delayed_adapter_ = adapter;
+  delay_ = seconds;
+}
+
+auto Upstream::Crash(double seconds) -> void {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    held_.clear();
+    sequence_ = 0;
+    started_ms_ += 1000;
+  }
+  record_.Line(plan_.id + " crashes");
+  listener_.SetDark(true);
+  SleepFor(seconds);
+  listener_.SetDark(false);
+  Register("ready");
+  record_.Line(plan_.id + " serves again, empty, with seq 0");
+}
+
+// Carries an order out at once.
+auto Upstream::TakeOrder(const Json& order, int& status) -> void {
   status = 400;
   if (!order.is_object()) return;
   const auto model = order.value("model", std::string());
   const auto adapter = order.value("adapter", std::string());
-  if (held_.count(model) == 0 || adapter.empty()) return;
+  const bool load = order.value("op", std::string()) == "load";
+  if (!adapter.empty() && held_.count(model) == 0) return;
   status = 409;
   if (order.value("precondition", sequence_) != sequence_) return;
+  status = 200;
+  const bool holds = held_.count(model) > 0 &&
+                     (adapter.empty() || held_[model].count(adapter) > 0);
+  if (load == holds) return;
   ++sequence_;
-  const bool load = order.value("op", std::string()) == "load";
-  status = load ? 202 : 200;
-  if (load) {
+  status = load || adapter.empty() ? 202 : 200;
+  if (adapter.empty()) {
+    load ? void(held_[model]) : void(held_.erase(model));
+  } else if (load) {
     held_[model].insert(adapter);
+    if (CountAdapters() > adapter_slots_) ++overloads_;
   } else {
     held_[model].erase(adapter);
   }
 }
 
+auto Upstream::Delays(const Json& order) -> bool {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (delayed_adapter_.empty() || !order.is_object() ||
+      order.value("adapter", std::string()) != delayed_adapter_ ||
+      order.value("op", std::string()) != "load") {
+    return false;
+  }
+  delayed_adapter_.clear();
+  record_.Line(plan_.id + " leaves an order unanswered: " + order.dump());
+  later_.emplace_back([this, order, delay = delay_] {
+    SleepFor(delay);
+    int status = 0;
+    std::size_t adapters = 0;
+    {
+      const std::lock_guard<std::mutex> late(mutex_);
+      TakeOrder(order, status);
+      adapters = CountAdapters();
+    }
+    record_.Line(plan_.id +
+                 " takes up the late order: " + std::to_string(status) +
+                 ", it now has " + std::to_string(adapters) + " adapters");
+  });
+  return true;
+}
+
 auto Upstream::Serve(Channel& channel) -> void {
   while (const auto request = ReadMessage(channel, kForever, false)) {
     if (!request->complete) return;
@@ -531,10 +610,15 @@
     if (target.rfind("/-/", 0) == 0) {
       std::string answer;
       int status = 200;
+      const auto order = Json::parse(request->body, nullptr, false);
+      if (Delays(order)) return;
       {
         const std::lock_guard<std::mutex> lock(mutex_);
         if (target.rfind("/-/order", 0) == 0) {
-          TakeOrder(request->body, status);
+          TakeOrder(order, status);
+          record_.Line(plan_.id + " is ordered " + request->body + ": " +
+                       std::to_string(status) + ", it has " +
+                       std::to_string(CountAdapters()) + " adapters");
         } else {
           answer = Json{{"phase", "colocated"}, {"models", HeldModels()},
                         {"busy", false},        {"seq", sequence_},
@@ -574,9 +658,9 @@
       name_(std::move(name)),
       settings_(folder + "/" + name_ + ".json"),
       log_(folder + "/" + name_ + ".log"),
-      callers_port_(FreePort()),
-      readiness_port_(FreePort()) {
-  const int first = FreePortPair();
+      callers_port_(FreePorts(1)),
+      readiness_port_(FreePorts(1)) {
+  const int first = FreePorts(2);
   const Json settings{
       {"nodeName", name_},
       {"role", "gateway"},
@@ -670,15 +754,6 @@
   return false;
 }
 
-auto Daemon::MemoryMb() const -> int {
-  std::ifstream status("/proc/" + std::to_string(process_) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.rfind("VmRSS:", 0) == 0) return std::atoi(&line[6]) / 1024;
-  }
-  return 0;
-}
-
 Folder::Folder() {
   std::string path =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -101,6 +101,8 @@
   auto Address() const -> std::string;
   // Closes the listening socket and all channels, as when a process ends.
   auto Stop() -> void;
+  // Closes all channels; until the next call with false, new ones too.
+  auto SetDark(bool dark) -> void;
 
  private:
   auto Accept() -> void;
@@ -109,6 +111,7 @@
   int descriptor_ = -1;
   int port_ = 0;
   std::atomic<bool> stopped_{false};
+  std::atomic<bool> dark_{false};
   std::thread accepting_;
   std::mutex mutex_;
   std::set<int> channels_;
@@ -188,13 +191,29 @@
   auto Register(const std::string& state) -> void;
   // Ends as a process does: all channels close.
   auto End() -> void { listener_.Stop(); }
+  ~Upstream();
+  Upstream(const Upstream&) = delete;
+  auto operator=(const Upstream&) -> Upstream& = delete;
   auto Runs() const -> std::vector<Run>;
   auto Id() const -> const std::string& { return plan_.id; }
+  // Takes adapters beyond `slots` as the end of its process.
+  auto SetAdapterSlots(std::size_t slots) -> void { adapter_slots_ = slots; }
+  // An order for this adapter that comes next gets no answer and is carried out
+  // after `seconds`, if its precondition holds then.
+  auto DelayOrder(const std::string& adapter, double seconds) -> void;
+  // Its process ends; one with the same id serves after `seconds`.
+  auto Crash(double seconds) -> void;
+  // Orders that would have taken more than its slots.
+  auto Overloads() const -> int { return overloads_; }
+  auto AdapterCount() const -> std::size_t;
 
  private:
   auto Serve(Channel& channel) -> void;
   auto HeldModels() const -> Json;
-  auto TakeOrder(const std::string& body, int& status) -> void;
+  auto CountAdapters() const -> std::size_t;
+  auto TakeOrder(const Json& order, int& status) -> void;
+  // Whether the order is one that is carried out late.
+  auto Delays(const Json& order) -> bool;
 
   Store& store_;
   Recorder& record_;
@@ -206,6 +225,11 @@
   std::vector<Run> runs_;
   std::int64_t sequence_ = 0;
   std::map<std::string, std::set<std::string>> held_;
+  std::size_t adapter_slots_ = 1000;
+  std::atomic<int> overloads_{0};
+  std::string delayed_adapter_;
+  double delay_ = 0;
+  std::vector<std::thread> later_;
   Listener listener_;
 };
 
@@ -227,8 +251,6 @@
   auto WaitReady(double seconds) const -> bool;
   auto CallersPort() const -> int { return callers_port_; }
   auto Name() const -> const std::string& { return name_; }
-  // Memory that the process uses now; 0 if it has ended.
-  auto MemoryMb() const -> int;
 
  private:
   Recorder& record_;
