--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -585,6 +585,8 @@
     return false;
   }
   delayed_adapter_.clear();
+  has_delayed_ = true;
+  if (!Trouble()) return false;
   record_.Line(plan_.id + " leaves an order unanswered: " + order.dump());
   later_.emplace_back([this, order, delay = delay_] {
     SleepFor(delay);
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -201,6 +201,8 @@
   // An order for this adapter that comes next gets no answer and is carried out
   // after `seconds`, if its precondition holds then.
   auto DelayOrder(const std::string& adapter, double seconds) -> void;
+  // Whether that order has come.
+  auto HasDelayed() const -> bool { return has_delayed_; }
   // Its process ends; one with the same id serves after `seconds`.
   auto Crash(double seconds) -> void;
   // Orders that would have taken more than its slots.
@@ -227,6 +229,7 @@
   std::map<std::string, std::set<std::string>> held_;
   std::size_t adapter_slots_ = 1000;
   std::atomic<int> overloads_{0};
+  std::atomic<bool> has_delayed_{false};
   std::string delayed_adapter_;
   double delay_ = 0;
   std::vector<std::thread> later_;
