Let ranked candidates carry the expected time to the first event

Cause: the choice of an upstream and the decision to queue are made by different parts, and the second needs what the first expects. Change: a ranked candidate has the upstream and an optional time to the first event, which nothing fills in yet. Result: no change of behaviour.

--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -371,8 +371,8 @@
     -> tl::expected<serving::UpstreamTable::Entry, SelectionFailure> {
   without_permit_.clear();
   if (!ranked) return tl::unexpected(ranked.error());
-  for (const auto& upstream : *ranked) {
-    if (Admit(*upstream, now)) return upstream;
+  for (const auto& candidate : *ranked) {
+    if (Admit(*candidate.upstream, now)) return candidate.upstream;
   }
   return tl::unexpected(SelectionFailure::kNoneEligible);
 }
@@ -382,13 +382,14 @@
   if (!ranked || (preference_ends_at_ && now >= *preference_ends_at_)) {
     return false;
   }
-  const auto has_permit = [&](const serving::UpstreamTable::Entry& upstream) {
-    return context_.permits.HasPermit(upstream->record.id);
-  };
+  const auto has_permit =
+      [&](const serving::UpstreamSelector::Candidate& candidate) {
+        return context_.permits.HasPermit(candidate.upstream->record.id);
+      };
   const auto& preferred = ranked->front();
   return !has_permit(preferred) &&
          std::any_of(ranked->begin(), ranked->end(), has_permit) &&
-         context_.permits.MayBeGranted(preferred->record.id, now);
+         context_.permits.MayBeGranted(preferred.upstream->record.id, now);
 }
 
 auto RequestExchange::Dispatch(Timestamp now) -> void {
@@ -407,7 +408,7 @@
   if (RejectQuarantined(now)) return;
   const auto ranked = Rank(now);
   if (AwaitsPreferred(ranked, now)) {
-    return ParkForPermit(ranked->front()->record.id, now);
+    return ParkForPermit(ranked->front().upstream->record.id, now);
   }
   const auto upstream = Choose(ranked, now);
   if (!upstream) return ParkForUpstream(upstream.error(), now);
--- a/modules/serving/dispatch/upstream_selector.cc
+++ b/modules/serving/dispatch/upstream_selector.cc
@@ -57,11 +57,11 @@
                             const PoolCapacity& pool, Random& random,
                             Timestamp now) const
     -> tl::expected<Candidates, SelectionFailure> {
-  struct Candidate {
+  struct CostedUpstream {
     UpstreamTable::Entry entry;
     double cost = 0;
   };
-  std::vector<Candidate> candidates;
+  std::vector<CostedUpstream> candidates;
   auto reason = SelectionFailure::kNoUpstream;
   int paused = 0;
   int not_paused = 0;
@@ -99,7 +99,9 @@
   if (candidates.empty()) return tl::unexpected(reason);
   Candidates ranked;
   ranked.reserve(candidates.size());
-  for (const auto& candidate : candidates) ranked.push_back(candidate.entry);
+  for (const auto& candidate : candidates) {
+    ranked.push_back({candidate.entry, std::nullopt});
+  }
   return ranked;
 }
 
--- a/modules/serving/dispatch/upstream_selector.h
+++ b/modules/serving/dispatch/upstream_selector.h
@@ -44,7 +44,13 @@
 // cost keeps them from all preferring the same upstream after the same report.
 class UpstreamSelector {
  public:
-  using Candidates = std::vector<UpstreamTable::Entry>;
+  struct Candidate {
+    UpstreamTable::Entry upstream;
+    // Expected time from sending the request to its first event or response;
+    // nullopt if too little is known of the upstream.
+    std::optional<Duration> first_event;
+  };
+  using Candidates = std::vector<Candidate>;
 
   // Returns the upstreams that may receive the request, at least one, in order
   // of their cost.
--- a/modules/serving/tests/serving_tests.cc
+++ b/modules/serving/tests/serving_tests.cc
@@ -159,7 +159,7 @@
     request.model = model_;
     const auto ranked = choice_.Rank(table_, request, {}, random_, At(0));
     if (!ranked) return tl::unexpected(ranked.error());
-    return ranked->front();
+    return ranked->front().upstream;
   }
 
   UpstreamTable table_;
