Choose upstreams by expected time where they state work factors

Cause: engines differ in speed and share machines with other work. Their responses state this as the fourth number of Load-Report; a value with four numbers was dropped, and three numbers were not used. The choice went by load alone, so slow engines got as many requests as fast ones.

Change: Load-Report is decoded into serving::StatedLoad; values that cannot be right are ignored and kept by name. Where a pool's upstreams state factors, candidates are ranked by an expected time in milliseconds: wait for a slot, prefill and first event, each multiplied by the factor, and the delay by the batch. The work times are learned for each pool. The stated number of requests, with what this daemon sent since, replaces the hub's sum while it is recent. Candidate::first_event states the expected time to the first event once it has been learned. Pools without factors are ranked as before, with the same random numbers.

--- a/daemon/gateway/dialect.h
+++ b/daemon/gateway/dialect.h
@@ -24,12 +24,6 @@
   std::optional<std::int64_t> after_event;
 };
 
-// Load that an upstream states in its answer.
-struct StatedLoad {
-  std::int64_t running = 0;
-  std::int64_t waiting = 0;
-};
-
 // What an upstream's response head says beyond its status.
 struct UpstreamAnswer {
   // Whether it names the request that it answers, and whether that is the one
@@ -44,7 +38,9 @@
   bool model_missing = false;
   // Whether the answer is the upstream's own and not of something in between.
   bool has_receipt = false;
-  std::optional<StatedLoad> load;
+  std::optional<serving::StatedLoad> load;
+  // The stated load, if it was ignored because it cannot be read.
+  std::string ignored_load;
   serving::StatedBackpressure backpressure;
   // A field about the upstream that was ignored because its value cannot be
   // read, with the value; empty if there is none.
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -59,6 +59,7 @@
   serving::ColdStartLimiter cold_gate;
   serving::RetryBudget repeats;
   serving::ServiceTimeEstimate service_times;
+  serving::WorkTimeEstimate work_times;
   fleet::GrantedTokens granted_tokens;
   fleet::UpstreamPermits permits{granted_tokens, upstreams.Backpressure()};
   eventhttp::ConnectionPool connections;
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -341,6 +341,8 @@
     facts.kv_tokens = pool_->engine->kv_tokens;
   }
   choice.tokens = request_.size ? request_.size->Total() : 0;
+  choice.prefill_tokens = UncachedPromptTokens(request_);
+  facts.times = context_.work_times.Expected(pool_->id);
   choice.shared_prefix_hash = request_.shared_prefix_hash;
   choice.zone = context_.settings.zone;
   choice.excluded = tried_;
@@ -583,7 +585,12 @@
   attempt_ = Attempt{};
   attempt_->upstream = upstream;
   attempt_->prefill_tokens = UncachedPromptTokens(request_);
+  attempt_->found_slot =
+      upstream->ExpectedRequests(now) <=
+      static_cast<double>(std::max<std::int64_t>(upstream->record.slots, 1));
   upstream->prefill_tokens += attempt_->prefill_tokens;
+  attempt_->prefill_tokens_ahead =
+      static_cast<std::int64_t>(upstream->TotalPrefillTokens());
   attempt_->sent_at = now;
   attempt_->events_before = events_.EventCount();
   attempt_->connection = TakeConnection(upstream->record.address);
@@ -667,6 +674,7 @@
   attempt.head_seen = true;
   RecordAnswerPart(MonotonicNow());
   RecordBackpressure(MonotonicNow());
+  RecordLoad(MonotonicNow());
   attempt.status = head.status;
   if (answer.not_run) {
     --ran_;
@@ -768,6 +776,7 @@
         attempt.first_event_seen = true;
         attempt.upstream->RecordSuccess(now);
         EndPrefill();
+        RecordFirstEventTime(now);
       }
     }
     session_->SendPiece(whole);
@@ -853,6 +862,8 @@
 }
 
 auto RequestExchange::ObserveServiceTime(Timestamp now) -> void {
+  if (!Stream()) RecordFirstEventTime(now);
+  RecordSlotTime(now);
   // The rest of a resumed stream says nothing about whole ones.
   if (attempt_->status / 100 != 2 || ran_ > 1) return;
   context_.service_times.Observe(route_->name, MaxOutputTokens(),
@@ -935,6 +946,39 @@
   context_.UpdateBackpressure(now);
 }
 
+auto RequestExchange::RecordLoad(Timestamp now) -> void {
+  auto& attempt = *attempt_;
+  if (!attempt.answer.load) return;
+  const auto& load = *attempt.answer.load;
+  attempt.upstream->RecordStatedLoad(load, now);
+  if (!load.work_factor) return;
+  attempt.work_factor = *load.work_factor;
+  context_.upstreams.ObserveWorkFactor(*attempt.upstream, *load.work_factor,
+                                       now);
+}
+
+auto RequestExchange::RecordFirstEventTime(Timestamp now) -> void {
+  auto& attempt = *attempt_;
+  attempt.answered_at = now;
+  // A stream that is continued needs no prefill of its prompt everywhere.
+  if (attempt.status / 100 != 2 || !attempt.found_slot || ran_ > 1) return;
+  context_.work_times.ObserveFirstEvent(
+      pool_->id, attempt.prefill_tokens_ahead,
+      FromSeconds(ToSeconds(now - attempt.sent_at) / attempt.work_factor));
+}
+
+auto RequestExchange::RecordSlotTime(Timestamp now) -> void {
+  const auto& attempt = *attempt_;
+  if (attempt.status / 100 != 2 || ran_ > 1) return;
+  // When a request that waited for a slot has got one is not known before its
+  // first event.
+  const auto since =
+      attempt.found_slot ? attempt.sent_at : attempt.answered_at.value_or(now);
+  if (since == now) return;
+  context_.work_times.ObserveSlot(
+      pool_->id, FromSeconds(ToSeconds(now - since) / attempt.work_factor));
+}
+
 auto RequestExchange::RecordBreak(ExchangeEnd end, Timestamp now) -> bool {
   const auto process = UpstreamProcess();
   trace_.BrokenOff(request_,
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -63,6 +63,14 @@
     std::int64_t events_before = 0;
     // Part of the upstream's unread prompt tokens until its first event.
     std::int64_t prefill_tokens = 0;
+    // Unread prompt tokens there when it was sent, its own included, and
+    // whether it found a free slot.
+    std::int64_t prefill_tokens_ahead = 0;
+    bool found_slot = false;
+    // Work factor of the upstream when it began to answer.
+    double work_factor = 1;
+    // When the first event, or the head of another answer, arrived.
+    std::optional<Timestamp> answered_at;
     // The answer is not passed on; another attempt follows when it has ended.
     bool discard = false;
     std::size_t discarded_bytes = 0;
@@ -99,6 +107,13 @@
   // Learns from the head of the attempt's answer which requests its upstream
   // takes.
   auto RecordBackpressure(Timestamp now) -> void;
+  // Learns from the head of the attempt's answer how busy its upstream is and
+  // how fast its machine works.
+  auto RecordLoad(Timestamp now) -> void;
+  // Learns how long the attempt's work took, of which the first event or the
+  // whole answer has arrived.
+  auto RecordFirstEventTime(Timestamp now) -> void;
+  auto RecordSlotTime(Timestamp now) -> void;
   // Learns from an attempt that its upstream broke off. Returns whether its
   // prompt is suspected to have ended other upstreams, too.
   auto RecordBreak(eventhttp::ExchangeEnd end, Timestamp now) -> bool;
--- a/modules/serving/dispatch/upstream_selector.h
+++ b/modules/serving/dispatch/upstream_selector.h
@@ -6,6 +6,7 @@
 
 #include "core/core.h"
 #include "serving/fleet/upstream_table.h"
+#include "serving/load/work_times.h"
 
 namespace dotterellug::serving {
 
@@ -15,6 +16,8 @@
   ModelId model;
   AdapterId adapter;
   std::int64_t tokens = 0;
+  // Prompt tokens that an engine must read.
+  std::int64_t prefill_tokens = 0;
   // Hash of the shared prompt parts; 0 if there are none.
   std::uint64_t shared_prefix_hash = 0;
   AvailabilityZoneId zone;
@@ -29,6 +32,8 @@
   // Requests that may queue at an upstream in addition to its slots, as a
   // fraction of the slots.
   double queue_fraction = 1.0;
+  // How long the work of its requests takes.
+  WorkTimes times;
 };
 
 // Why no upstream can be selected.
@@ -42,6 +47,8 @@
 // Orders the upstreams that may receive a request by their cost. Daemons select
 // independently, on load reports that arrive late; a random addition to each
 // cost keeps them from all preferring the same upstream after the same report.
+// In a pool whose upstreams state their work factors, the cost is an expected
+// time; in other pools it depends on the load alone.
 class UpstreamSelector {
  public:
   struct Candidate {
@@ -64,6 +71,19 @@
   static auto Cost(const UpstreamView& upstream,
                    const SelectionRequest& request, const PoolCapacity& pool)
       -> double;
+
+ private:
+  struct CostedUpstream {
+    UpstreamTable::Entry entry;
+    double cost = 0;
+    std::optional<Duration> first_event;
+  };
+
+  // Sets the costs of candidates to expected times in milliseconds.
+  static auto SetExpectedTimes(std::vector<CostedUpstream>& candidates,
+                               const SelectionRequest& request,
+                               const PoolCapacity& pool, Random& random,
+                               Timestamp now) -> void;
 };
 
 }  // namespace dotterellug::serving
--- a/modules/serving/fleet/upstream_table.cc
+++ b/modules/serving/fleet/upstream_table.cc
@@ -46,6 +46,19 @@
   return found == by_pool_.end() ? none : found->second;
 }
 
+auto UpstreamTable::ObserveWorkFactor(UpstreamView& upstream, double factor,
+                                      Timestamp at) -> bool {
+  pools_with_factors_.insert(upstream.record.pool);
+  return upstream.work_factor.Observe(factor, at);
+}
+
+auto UpstreamTable::AdoptWorkFactor(UpstreamView& upstream,
+                                    const SharedWorkFactor& fact, Timestamp at)
+    -> void {
+  pools_with_factors_.insert(upstream.record.pool);
+  upstream.work_factor.Adopt(fact, at);
+}
+
 auto UpstreamTable::Usable(const UpstreamView& upstream) const -> bool {
   return !upstream.record.leaving &&
          !backpressure_.Leaving(upstream.record.id) &&
--- a/modules/serving/fleet/upstream_table.h
+++ b/modules/serving/fleet/upstream_table.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/core.h"
@@ -35,6 +36,17 @@
   }
   // Whether new requests may be sent to the upstream.
   auto Usable(const UpstreamView& upstream) const -> bool;
+  // Records the work factor of an upstream; `at` is when a response stated it.
+  // Returns false if a later one is known.
+  auto ObserveWorkFactor(UpstreamView& upstream, double factor, Timestamp at)
+      -> bool;
+  // Takes what another daemon knows of an upstream's work factor, as of `at`.
+  auto AdoptWorkFactor(UpstreamView& upstream, const SharedWorkFactor& fact,
+                       Timestamp at) -> void;
+  // Whether an upstream of the pool has stated its work factor.
+  auto StatesWorkFactors(const PoolId& pool) const -> bool {
+    return pools_with_factors_.count(pool) > 0;
+  }
   // What upstreams have asked for in their answers.
   auto Backpressure() -> BackpressureTable& { return backpressure_; }
   auto Backpressure() const -> const BackpressureTable& {
@@ -49,6 +61,7 @@
 
   std::unordered_map<UpstreamId, Entry> upstreams_;
   std::unordered_map<PoolId, std::vector<Entry>> by_pool_;
+  std::unordered_set<PoolId> pools_with_factors_;
   std::set<AvailabilityZoneId> disabled_zones_;
   BackpressureTable backpressure_;
 };
--- a/modules/serving/fleet/upstream_view.cc
+++ b/modules/serving/fleet/upstream_view.cc
@@ -1,6 +1,7 @@
 #include "serving/fleet/upstream_view.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dotterellug::serving {
 namespace {
@@ -19,6 +20,11 @@
 // Covers four report intervals; reports of other daemons renew it while they
 // cannot reach the upstream.
 constexpr auto kReportedSuspicionDuration = std::chrono::milliseconds(600);
+// Time constant with which a stated load loses its weight: the age at which the
+// hub's sum of all daemons' loads arrives, which takes its place.
+constexpr auto kStatedLoadTimeConstant = std::chrono::milliseconds(200);
+// Multiple of the time constant after which a stated load is disregarded.
+constexpr int kDisregardStatedAfter = 5;
 
 }  // namespace
 
@@ -32,6 +38,25 @@
   return false;
 }
 
+auto UpstreamView::RecordStatedLoad(const StatedLoad& load, Timestamp now)
+    -> void {
+  stated_requests_ = static_cast<double>(load.running + load.waiting);
+  stated_at_ = now;
+  requests_at_statement_ = requests;
+}
+
+auto UpstreamView::ExpectedRequests(Timestamp now) const -> double {
+  const auto reported = TotalRequests();
+  const Duration age = std::max<Duration>(now - stated_at_, Duration::zero());
+  if (age >= kDisregardStatedAfter * kStatedLoadTimeConstant) return reported;
+  const auto own_since = static_cast<double>(requests - requests_at_statement_);
+  const auto stated =
+      std::max(stated_requests_ + own_since, static_cast<double>(requests));
+  const auto weight =
+      std::exp(-ToSeconds(age) / ToSeconds(kStatedLoadTimeConstant));
+  return reported + weight * (stated - reported);
+}
+
 auto UpstreamView::RecordSuccess(Timestamp now) -> void {
   succeeded_at_ = now;
   failure_rate_ *= 1 - kLatestAttemptWeight;
--- a/modules/serving/fleet/upstream_view.h
+++ b/modules/serving/fleet/upstream_view.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "core/core.h"
+#include "serving/load/stated_load.h"
+#include "serving/load/work_factor.h"
 
 namespace dotterellug::serving {
 
@@ -66,6 +68,8 @@
   // Prompt tokens of requests that have not returned their first event.
   std::int64_t prefill_tokens = 0;
   OtherDaemonsLoad other_daemons_load;
+  // How long work takes on its machine, as its responses state it.
+  WorkFactor work_factor;
 
   // Whether it has loaded the model and, if one is given, the adapter. True if
   // no model is given.
@@ -81,6 +85,14 @@
     return static_cast<double>(prefill_tokens) +
            other_daemons_load.prefill_tokens;
   }
+  // Records the load that a response stated. The work factor is recorded
+  // separately, since it is shared with other daemons.
+  auto RecordStatedLoad(const StatedLoad& load, Timestamp now) -> void;
+  // Requests there, from all daemons: those that its last response stated,
+  // corrected by what this daemon has sent and completed since. The statement
+  // counts less as it ages, since other daemons go on sending; TotalRequests
+  // replaces it.
+  auto ExpectedRequests(Timestamp now) const -> double;
   auto IsCold(Timestamp now) const -> bool { return now < cold_until; }
 
   // Record the outcome of an attempt: it ended in time, or it failed because of
@@ -115,6 +127,11 @@
   Timestamp succeeded_at_{};
   Timestamp unreachable_at_{};
   Timestamp suspected_until_{};
+  // The last stated number of running and waiting requests, when it was stated,
+  // and how many requests of this daemon were in flight there at that time.
+  double stated_requests_ = 0;
+  Timestamp stated_at_{};
+  std::int64_t requests_at_statement_ = 0;
 };
 
 }  // namespace dotterellug::serving
