Exchange work factors of upstreams between daemons and the hub

Cause: a daemon knew the factor of an upstream only from its own responses, so each daemon learned of a slow period by itself, and one that had just started chose by load.

The later observation wins; facts about another process are disregarded. Stated loads are counted; ones that cannot be right are also logged, once a second at most. request_sent states the factor. Two gauges state how many factors are known and how many upstreams are slow now.

--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -159,6 +159,8 @@
 auto FleetNode::OnReport(const fleet::FleetReport& report, Timestamp now)
     -> void {
   if (!report.store_positions.empty()) link_->catch_up(report.store_positions);
+  context_.work_factors.Merge(report.work_factors,
+                              serving::WorkFactorSource::kReport, now);
   Send(sender_, Answer(report, now));
   PassGrants(now);
   if (fleet_member_.HasUrgent()) ReportNow();
@@ -182,6 +184,10 @@
   auto summary = fleet_member_.OnReport(report, now);
   context_.UpdateBackpressure(now);
   if (summary.grants_only) return summary;
+  if (report.from != context_.settings.instance) {
+    summary.work_factors =
+        context_.work_factors.ShareWithDaemon(report.sequence, now);
+  }
   summary.leader = leader_;
   summary.leader_fence = leader_fence_;
   summary.lease_revision = lease_revision_;
@@ -216,6 +222,8 @@
   PassGrants(now);
   if (!summary.grants_only) {
     context_.hub_answered_at = now;
+    context_.work_factors.Merge(summary.work_factors,
+                                serving::WorkFactorSource::kHub, now);
     if (summary.from != context_.settings.instance) {
       backed_at_ = now;
       const bool from_zone_hub = summary.level == fleet::HubLevel::kZone;
@@ -326,6 +334,7 @@
     report.upstreams.push_back(
         {id, upstream->requests, upstream->tokens, upstream->prefill_tokens});
   }
+  report.work_factors = context_.work_factors.ShareWithHub(sequence_, now);
   report.models = context_.demand.Rates(now);
   report.upstream_position = journal_.Position();
   report.store_positions = link_->announced_positions();
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -334,6 +334,10 @@
   metrics.Set(GatewayLevel::kRestrictedUpstreams,
               static_cast<double>(
                   context_.upstreams.Backpressure().RestrictedCount(now)));
+  const auto factors = context_.upstreams.CountWorkFactors(now);
+  metrics.Set(GatewayLevel::kKnownWorkFactors,
+              static_cast<double>(factors.known));
+  metrics.Set(GatewayLevel::kSlowUpstreams, static_cast<double>(factors.slow));
   metrics.Set(GatewayLevel::kOrderLeaseHeld, orders_.Leading() ? 1 : 0);
   metrics.Set(GatewayLevel::kStoreAnswerAge, age(lapsed_.LastResponseAt()));
   metrics.Set(GatewayLevel::kHubAnswerAge, age(context_.hub_answered_at));
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -55,6 +55,7 @@
   // Null until a configuration is known.
   std::shared_ptr<const serving::ServingCatalog> catalog;
   serving::UpstreamTable upstreams;
+  serving::WorkFactorExchange work_factors{upstreams};
   serving::UpstreamSelector choice;
   serving::ColdStartLimiter cold_gate;
   serving::RetryBudget repeats;
@@ -94,6 +95,10 @@
   // Whether new requests are refused because the process stops. Their callers
   // can go to another daemon, and they might not end before the process does.
   bool refuses_requests = false;
+  // When a stated load was last logged as ignored, and how many were ignored
+  // since.
+  Timestamp ignored_load_logged_at{};
+  std::int64_t ignored_loads = 0;
   // When a hub last told the load of other daemons; zero before the first time.
   Timestamp hub_answered_at{};
   // Writes buffered log lines shortly after the first of them, so that a
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 8> kCounters{{
+const std::array<Name, 9> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -41,9 +41,12 @@
      "Copies of lists in the store asked of other daemons, by outcome."},
     {"dotterellug_gateway_log_lines_dropped_total", "event",
      "Log lines that did not fit the bounds, by event."},
+    {"dotterellug_gateway_stated_loads_total", "result",
+     "Loads that upstreams stated in their responses: with a work factor, "
+     "without one, or ignored because they cannot be right."},
 }};
 
-const std::array<Name, 12> kLevels{{
+const std::array<Name, 14> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -68,6 +71,12 @@
     {"dotterellug_gateway_restricted_upstreams", "",
      "Upstreams that state a rate of requests, leave, or asked to be left "
      "alone."},
+    {"dotterellug_gateway_known_work_factors", "",
+     "Upstreams whose work factor is known, from their responses or from "
+     "other daemons."},
+    {"dotterellug_gateway_slow_upstreams", "",
+     "Upstreams that are expected to take more than 1.5 times as long as "
+     "usual now."},
 }};
 
 const std::array<Name, 4> kLatencies{{
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -20,6 +20,7 @@
   kStoreCalls,
   kCopyFetches,
   kDroppedLines,
+  kStatedLoads,
 };
 
 // What a gateway states as it is now.
@@ -36,6 +37,8 @@
   kFleetHubDaemons,
   kQuarantinedParts,
   kRestrictedUpstreams,
+  kKnownWorkFactors,
+  kSlowUpstreams,
 };
 
 // Durations of requests, as histograms.
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -67,6 +67,10 @@
 constexpr double kQueuePart = 1.0;
 // An upstream that delivers this many events of a stream works on its prompt.
 constexpr std::int64_t kWorkingEvents = 2;
+// A stated load that cannot be right is logged this often at most, with so many
+// bytes of it.
+constexpr auto kIgnoredLoadInterval = std::chrono::seconds(1);
+constexpr std::size_t kMaxLoggedValue = 64;
 // Not-run answers after which a request is refused.
 constexpr int kMostNotRun = 3;
 
@@ -345,6 +349,7 @@
   facts.times = context_.work_times.Expected(pool_->id);
   choice.shared_prefix_hash = request_.shared_prefix_hash;
   choice.zone = context_.settings.zone;
+  choice.latency_target = route_->latency_target;
   choice.excluded = tried_;
   if (!choice.model.Empty()) {
     for (const auto& [upstream, model] : context_.unloading) {
@@ -948,13 +953,27 @@
 
 auto RequestExchange::RecordLoad(Timestamp now) -> void {
   auto& attempt = *attempt_;
+  if (!attempt.answer.ignored_load.empty()) IgnoreLoad(now);
   if (!attempt.answer.load) return;
   const auto& load = *attempt.answer.load;
+  context_.metrics.Count(GatewayCounter::kStatedLoads,
+                         load.work_factor ? "with_factor" : "without_factor");
   attempt.upstream->RecordStatedLoad(load, now);
   if (!load.work_factor) return;
   attempt.work_factor = *load.work_factor;
-  context_.upstreams.ObserveWorkFactor(*attempt.upstream, *load.work_factor,
-                                       now);
+  context_.work_factors.Observe(attempt.upstream, *load.work_factor, now);
+}
+
+auto RequestExchange::IgnoreLoad(Timestamp now) -> void {
+  context_.metrics.Count(GatewayCounter::kStatedLoads, "ignored");
+  ++context_.ignored_loads;
+  if (now - context_.ignored_load_logged_at < kIgnoredLoadInterval) return;
+  context_.ignored_load_logged_at = now;
+  context_.log.Write(EventRank::kFailure, "stated_load_ignored")
+      .Add("request", request_.id.Value())
+      .Add("upstream", attempt_->upstream->record.id.Value())
+      .Add("value", attempt_->answer.ignored_load.substr(0, kMaxLoggedValue))
+      .Add("ignored", std::exchange(context_.ignored_loads, 0));
 }
 
 auto RequestExchange::RecordFirstEventTime(Timestamp now) -> void {
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -110,6 +110,8 @@
   // Learns from the head of the attempt's answer how busy its upstream is and
   // how fast its machine works.
   auto RecordLoad(Timestamp now) -> void;
+  // Counts a stated load that cannot be right, and logs it at a limited rate.
+  auto IgnoreLoad(Timestamp now) -> void;
   // Learns how long the attempt's work took, of which the first event or the
   // whole answer has arrived.
   auto RecordFirstEventTime(Timestamp now) -> void;
--- a/daemon/gateway/request_trace.cc
+++ b/daemon/gateway/request_trace.cc
@@ -1,6 +1,7 @@
 #include "daemon/gateway/request_trace.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace dotterellug::gateway {
@@ -9,6 +10,10 @@
 // Prompt parts are logged up to this number of bytes.
 constexpr std::size_t kMaxLoggedParts = 200;
 
+auto Percent(double factor) -> std::int64_t {
+  return std::llround(factor * 100);
+}
+
 }  // namespace
 
 auto RequestTrace::Waits(const RequestId& request, const char* reason,
@@ -49,6 +54,11 @@
   if (context_.hub_answered_at != Timestamp{}) {
     line.AddMs("hub_age_ms", now - context_.hub_answered_at);
   }
+  const auto& factor = upstream.work_factor;
+  if (!factor.Known()) return;
+  line.Add("work_percent", Percent(factor.Expected(now)))
+      .Add("usual_work_percent", Percent(factor.Usual()))
+      .AddMs("work_percent_age_ms", now - factor.ObservedAt());
 }
 
 auto RequestTrace::BrokenOff(const serving::ServiceRequest& request,
--- a/modules/fleet/hub/report_aggregator.cc
+++ b/modules/fleet/hub/report_aggregator.cc
@@ -44,6 +44,7 @@
   stored.token_requests.clear();
   stored.prompt_evidence.clear();
   stored.backpressure.clear();
+  stored.work_factors.clear();
   UpdateTotals(stored, 1);
   last_reports_[report.from] = now;
   for (const auto& daemon : report.included_daemons) {
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -1,6 +1,7 @@
 #include "fleet/messages/fleet_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -21,8 +22,9 @@
 constexpr std::size_t kFirstReportSize = 10;
 constexpr std::size_t kFirstSummarySize = 15;
 // Index of the evidence on prompt parts. Behind it come what is known of the
-// requests that upstreams take, the tokens of upstreams' rates and, in reports,
-// store positions. These elements are left out if none of them has content.
+// requests that upstreams take, the tokens of upstreams' rates, in reports
+// store positions, and work factors. These elements are left out if none of
+// them has content.
 constexpr std::size_t kReportEvidence = 14;
 constexpr std::size_t kSummaryEvidence = 19;
 
@@ -270,6 +272,52 @@
   }
 }
 
+// Encodes that the usual work factor is not known.
+constexpr std::int64_t kUnknownFactor = 0;
+
+auto EncodePercent(double factor) -> std::int64_t {
+  return std::max<std::int64_t>(std::llround(factor * 100), 1);
+}
+
+// Encodes five elements for each upstream; factors in percent.
+auto EncodeWorkFactors(const std::vector<serving::SharedWorkFactor>& shared)
+    -> Json {
+  auto list = Json::array();
+  for (const auto& fact : shared) {
+    list.push_back(fact.upstream.Value());
+    list.push_back(fact.started_ms);
+    list.push_back(EncodePercent(fact.current));
+    list.push_back(
+        std::chrono::duration_cast<std::chrono::milliseconds>(fact.age)
+            .count());
+    list.push_back(fact.usual ? EncodePercent(*fact.usual) : kUnknownFactor);
+  }
+  return list;
+}
+
+auto DecodeWorkFactors(const Json& list)
+    -> std::vector<serving::SharedWorkFactor> {
+  // No message has an older fact; more would not fit into a duration.
+  constexpr std::int64_t kMaxAgeMs = 86'400'000;
+  std::vector<serving::SharedWorkFactor> shared;
+  for (std::size_t i = 0; i + 4 < list.size(); i += 5) {
+    serving::SharedWorkFactor fact;
+    fact.upstream = UpstreamId(list[i].get<std::string>());
+    fact.started_ms = list[i + 1].get<std::int64_t>();
+    const auto current = list[i + 2].get<std::int64_t>();
+    const auto age = list[i + 3].get<std::int64_t>();
+    const auto usual = list[i + 4].get<std::int64_t>();
+    if (current <= 0 || age < 0 || age > kMaxAgeMs || usual < 0) continue;
+    fact.current = static_cast<double>(current) / 100;
+    fact.age = std::chrono::milliseconds(age);
+    if (usual != kUnknownFactor) {
+      fact.usual = static_cast<double>(usual) / 100;
+    }
+    shared.push_back(std::move(fact));
+  }
+  return shared;
+}
+
 // Appends the optional elements unless all of them are empty.
 auto AppendOptional(Json& message, std::vector<Json> elements) -> void {
   const bool empty =
@@ -311,7 +359,8 @@
   AppendOptional(message, {EncodeEvidence(report.prompt_evidence),
                            EncodeBackpressure(report.backpressure),
                            EncodeUpstreamRequests(report.token_requests),
-                           report.store_positions});
+                           report.store_positions,
+                           EncodeWorkFactors(report.work_factors)});
   return message;
 }
 
@@ -349,7 +398,8 @@
        EncodeAge(summary.lease_holder_age), std::move(queued)});
   AppendOptional(message, {EncodeEvidence(summary.prompt_evidence),
                            EncodeBackpressure(summary.backpressure),
-                           EncodeUpstreamGrants(summary.grants)});
+                           EncodeUpstreamGrants(summary.grants),
+                           EncodeWorkFactors(summary.work_factors)});
   return message;
 }
 
@@ -401,6 +451,9 @@
     report.store_positions =
         list[kReportEvidence + 3].get<std::vector<std::int64_t>>();
   }
+  if (list.size() > kReportEvidence + 4) {
+    report.work_factors = DecodeWorkFactors(list[kReportEvidence + 4]);
+  }
   return report;
 }
 
@@ -449,6 +502,9 @@
     summary.backpressure = DecodeBackpressure(list[kSummaryEvidence + 1]);
     DecodeUpstreamGrants(list[kSummaryEvidence + 2], summary.grants);
   }
+  if (list.size() > kSummaryEvidence + 3) {
+    summary.work_factors = DecodeWorkFactors(list[kSummaryEvidence + 3]);
+  }
   return summary;
 }
 
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -100,6 +100,9 @@
   // contain it as well, so that a hub knows the rates of which tokens are
   // requested.
   std::vector<serving::SharedBackpressure> backpressure;
+  // Some of what the sender knows of the work factors of upstreams. Urgent
+  // reports contain none.
+  std::vector<serving::SharedWorkFactor> work_factors;
 };
 
 // Tokens of a rate limit that the hub grants.
@@ -172,6 +175,8 @@
   std::vector<quarantine::SharedEvidence> prompt_evidence;
   // What the hub knows of the requests that upstreams take.
   std::vector<serving::SharedBackpressure> backpressure;
+  // Some of what the hub knows of the work factors of upstreams.
+  std::vector<serving::SharedWorkFactor> work_factors;
 };
 
 using FleetMessage = std::variant<FleetReport, FleetSummary>;
--- a/modules/serving/dispatch/upstream_selector.h
+++ b/modules/serving/dispatch/upstream_selector.h
@@ -21,6 +21,8 @@
   // Hash of the shared prompt parts; 0 if there are none.
   std::uint64_t shared_prefix_hash = 0;
   AvailabilityZoneId zone;
+  // Target for the time to the first event or the response; 0 if there is none.
+  Duration latency_target{0};
   // Upstreams to which this request has already been sent.
   std::vector<UpstreamId> excluded;
 };
--- a/modules/serving/fleet/upstream_table.cc
+++ b/modules/serving/fleet/upstream_table.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace dotterellug::serving {
+namespace {
+
+// An upstream is counted as slow if work takes longer than this multiple of the
+// usual time. Measured slow periods have a multiple of 2.5.
+constexpr double kSlowFactor = 1.5;
+
+}  // namespace
 
 auto UpstreamTable::Upsert(const UpstreamRecord& record, Timestamp now)
     -> void {
@@ -59,6 +66,17 @@
   upstream.work_factor.Adopt(fact, at);
 }
 
+auto UpstreamTable::CountWorkFactors(Timestamp now) const -> WorkFactorCounts {
+  WorkFactorCounts counts;
+  for (const auto& [id, upstream] : upstreams_) {
+    const auto& factor = upstream->work_factor;
+    if (!factor.Known()) continue;
+    ++counts.known;
+    if (factor.Expected(now) > kSlowFactor * factor.Usual()) ++counts.slow;
+  }
+  return counts;
+}
+
 auto UpstreamTable::Usable(const UpstreamView& upstream) const -> bool {
   return !upstream.record.leaving &&
          !backpressure_.Leaving(upstream.record.id) &&
--- a/modules/serving/fleet/upstream_table.h
+++ b/modules/serving/fleet/upstream_table.h
@@ -43,6 +43,13 @@
   // Takes what another daemon knows of an upstream's work factor, as of `at`.
   auto AdoptWorkFactor(UpstreamView& upstream, const SharedWorkFactor& fact,
                        Timestamp at) -> void;
+  // How many upstreams have a known work factor, and how many of them are
+  // expected to take more than 1.5 times as long as usual now.
+  struct WorkFactorCounts {
+    std::int64_t known = 0;
+    std::int64_t slow = 0;
+  };
+  auto CountWorkFactors(Timestamp now) const -> WorkFactorCounts;
   // Whether an upstream of the pool has stated its work factor.
   auto StatesWorkFactors(const PoolId& pool) const -> bool {
     return pools_with_factors_.count(pool) > 0;
--- a/modules/serving/serving.h
+++ b/modules/serving/serving.h
@@ -18,6 +18,7 @@
 #include "serving/fleet/upstream_view.h"
 #include "serving/load/stated_load.h"
 #include "serving/load/work_factor.h"
+#include "serving/load/work_factor_exchange.h"
 #include "serving/load/work_times.h"
 #include "serving/request/service_request.h"
 #include "serving/retry/retry_budget.h"
