Compare a few random upstreams and prefer the own zone

Cause: daemons with the same report all sent to the upstream that looked best until the next report, and the fixed addition for other zones amounted to half a request, so 31% of the requests went to another zone at low demand.

Change: in pools with work factors, four random upstreams of the own zone, two elsewhere and the one with the cached prefix are compared. Other zones cost 8% of the latency target more (40 to 160 ms), times a random number between 0.5 and 1.5 for each choice. Upstreams whose factor nobody knows are preferred in 2% of the choices. In pools of more than 128 upstreams, 12 and 4 candidates are looked at.

--- a/modules/serving/dispatch/upstream_selector.cc
+++ b/modules/serving/dispatch/upstream_selector.cc
@@ -1,6 +1,7 @@
 #include "serving/dispatch/upstream_selector.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace dotterellug::serving {
 namespace {
@@ -41,6 +42,37 @@
 // Maximum random addition to an expected time. With 12 ms, four daemons filled
 // the fastest of 12 engines together between two reports.
 constexpr double kMaxTimeJitterMs = 40;
+// Upstreams of the own zone, and of other zones, that are compared by their
+// expected times; further ones follow behind them. All daemons have the same
+// reports, and the upstream that looks best to all would get the requests of
+// all until the next report. A choice among a few random ones (power of d
+// choices) avoids that.
+constexpr std::size_t kComparedInZone = 4;
+constexpr std::size_t kComparedElsewhere = 2;
+// Exceeds all differences of expected times that matter, and is less than
+// kSuspicionCost.
+constexpr double kNotComparedCostMs = 1e6;
+// In larger pools, only so many random candidates are looked at, in the own
+// zone and elsewhere, so that the time for a choice does not grow.
+constexpr std::size_t kLargePool = 128;
+constexpr std::size_t kLookedAtInZone = 12;
+constexpr std::size_t kLookedAtElsewhere = 4;
+// Entries that are looked at for candidates elsewhere; a pool may have only one
+// zone.
+constexpr std::size_t kLookedAtMost = 256;
+// Mean addition to the expected times of other zones, to which traffic is
+// billed, as a part of the latency target: a request whose target is further
+// away stays in its zone for longer. Within the bounds, 40 ms are what two to
+// three more requests on an engine with 16 slots cost. Each choice draws its
+// own addition, from half of the mean to one and a half, so that the part of
+// the requests that goes elsewhere grows with the difference between the zones
+// instead of jumping.
+constexpr double kCrossZonePart = 0.08;
+constexpr double kMinCrossZoneMs = 40;
+constexpr double kMaxCrossZoneMs = 160;
+// Part of the choices in which an upstream of the own zone is preferred whose
+// work factor no daemon knows.
+constexpr double kTrialShare = 0.02;
 // Network time to another zone and back.
 constexpr double kCrossZoneRoundTripMs = 1;
 
@@ -48,6 +80,19 @@
   return ToSeconds(duration) * 1000;
 }
 
+// Takes `wanted` of `left` elements, each with the same probability.
+struct RandomSample {
+  std::size_t wanted;
+  std::size_t left;
+
+  auto Take(Random& random) -> bool {
+    const bool takes = random.Below(left) < wanted;
+    --left;
+    if (takes) --wanted;
+    return takes;
+  }
+};
+
 // Expected times of a request at one upstream.
 struct ExpectedTimes {
   Duration first_event;
@@ -83,11 +128,37 @@
   }
   auto cost = first_event + factor * kFullBatchMs * (batch + 1 / slots);
   cost += upstream.FailureRate() * kFailureRateCost * kFullBatchMs;
-  if (other_zone) cost += kCrossZoneCost * kFullBatchMs;
   cost -= AffinityDiscount(upstream, request) * kFullBatchMs;
   return {FromSeconds(first_event / 1000), cost};
 }
 
+// Calls `consider`, which may add a candidate, for the entries in an order that
+// begins at random, until there are enough candidates of the own zone and of
+// others, or all entries have been considered.
+template <class Entries, class Candidates, class Consider>
+auto ConsiderSome(const Entries& entries, const AvailabilityZoneId& zone,
+                  Random& random, Candidates& candidates,
+                  const Consider& consider) -> void {
+  const auto size = entries.size();
+  // A step without a common divisor with the size reaches each entry once.
+  auto step = 1 + random.Below(size - 1);
+  while (std::gcd(step, size) != 1) step = step % (size - 1) + 1;
+  auto index = random.Below(size);
+  std::size_t own = 0;
+  std::size_t others = 0;
+  for (std::size_t i = 0; i < size; ++i, index = (index + step) % size) {
+    const auto& entry = entries[index];
+    const bool in_zone = entry->record.zone == zone;
+    auto& count = in_zone ? own : others;
+    if (count == (in_zone ? kLookedAtInZone : kLookedAtElsewhere)) continue;
+    const auto before = candidates.size();
+    consider(entry);
+    count += candidates.size() - before;
+    const bool enough = others == kLookedAtElsewhere || i >= kLookedAtMost;
+    if (own == kLookedAtInZone && enough) return;
+  }
+}
+
 }  // namespace
 
 auto UpstreamSelector::Cost(const UpstreamView& upstream,
@@ -124,6 +195,21 @@
     ++known;
   }
   const auto average = known > 0 ? known_sum / known : 1;
+  const auto in_zone = [&](const CostedUpstream& candidate) {
+    return candidate.entry->record.zone == request.zone;
+  };
+  const auto own = static_cast<std::size_t>(
+      std::count_if(candidates.begin(), candidates.end(), in_zone));
+  RandomSample compared_in_zone{kComparedInZone, own};
+  RandomSample compared_elsewhere{kComparedElsewhere, candidates.size() - own};
+  const auto cross_zone =
+      std::clamp(kCrossZonePart * Milliseconds(request.latency_target),
+                 kMinCrossZoneMs, kMaxCrossZoneMs) *
+      (0.5 + random.Uniform());
+  const bool trial = random.Uniform() < kTrialShare;
+  CostedUpstream* preferred = nullptr;
+  bool preferred_compared = false;
+  double largest_discount = 0;
   for (auto& candidate : candidates) {
     const auto& factor = candidate.entry->work_factor;
     const auto times =
@@ -133,6 +219,26 @@
     if (factor.Known() && pool.times.observed) {
       candidate.first_event = times.first_event;
     }
+    const bool own_zone = in_zone(candidate);
+    if (!own_zone) candidate.cost += cross_zone;
+    auto& sample = own_zone ? compared_in_zone : compared_elsewhere;
+    const bool compared = sample.Take(random);
+    const bool tried = trial && own_zone && !factor.Known();
+    if (tried) {
+      candidate.cost -= kNotComparedCostMs;
+    } else if (!compared) {
+      candidate.cost += kNotComparedCostMs;
+    }
+    const auto discount =
+        own_zone ? AffinityDiscount(*candidate.entry, request) : 0;
+    if (discount <= largest_discount) continue;
+    largest_discount = discount;
+    preferred = &candidate;
+    preferred_compared = compared || tried;
+  }
+  // The upstream that has the prompt's prefix cached is always compared.
+  if (preferred != nullptr && !preferred_compared) {
+    preferred->cost -= kNotComparedCostMs;
   }
 }
 
@@ -146,29 +252,35 @@
   auto reason = SelectionFailure::kNoUpstream;
   int paused = 0;
   int not_paused = 0;
-  for (const auto& entry : table.InPool(request.pool)) {
-    if (!table.Usable(*entry)) continue;
+  const auto consider = [&](const UpstreamTable::Entry& entry) {
+    if (!table.Usable(*entry)) return;
     if (reason == SelectionFailure::kNoUpstream) {
       reason = SelectionFailure::kNoModel;
     }
-    if (!entry->HasModel(request.model, request.adapter)) continue;
+    if (!entry->HasModel(request.model, request.adapter)) return;
     if (reason == SelectionFailure::kNoModel) {
       reason = SelectionFailure::kNoneEligible;
     }
     const auto& excluded = request.excluded;
     if (std::find(excluded.begin(), excluded.end(), entry->record.id) !=
         excluded.end()) {
-      continue;
+      return;
     }
     if (table.Backpressure().PausedFor(entry->record.id, now) >
         Duration::zero()) {
       ++paused;
-      continue;
+      return;
     }
     ++not_paused;
     const auto slots = static_cast<double>(entry->record.slots);
-    if (entry->TotalRequests() >= slots * (1 + pool.queue_fraction)) continue;
+    if (entry->TotalRequests() >= slots * (1 + pool.queue_fraction)) return;
     candidates.push_back({entry, 0, std::nullopt});
+  };
+  const auto& entries = table.InPool(request.pool);
+  if (by_time && entries.size() > kLargePool) {
+    ConsiderSome(entries, request.zone, random, candidates, consider);
+  } else {
+    for (const auto& entry : entries) consider(entry);
   }
   if (by_time) {
     SetExpectedTimes(candidates, request, pool, random, now);
--- a/modules/serving/tests/expected_time_tests.cc
+++ b/modules/serving/tests/expected_time_tests.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+
 #include "load_simulation.h"
 #include "serving/serving.h"
 
@@ -221,5 +224,147 @@
   EXPECT_LT(new_choice.LateShare(500), old_choice.LateShare(500));
 }
 
+// Load: 60 daemons that get the same report at the same time. All of them sent
+// to the same engine until the next report.
+TEST(ExpectedTimeTest, ManyDaemonsWithTheSameReport) {
+  SimulationSetup setup;
+  setup.engines = SkewedEngines(18);
+  setup.daemons = 60;
+  setup.same_report = true;
+  setup.trace = MakeTrace(220, 15, setup.daemons, 800, 14);
+  const auto [old_choice, new_choice] = Compare("same report", setup);
+  EXPECT_LT(new_choice.FirstEventQuantile(0.95),
+            0.9 * old_choice.FirstEventQuantile(0.95));
+  EXPECT_LE(new_choice.largest_burst, old_choice.largest_burst);
+}
+
+// Load: three zones whose demand swings in different phases, so that each has
+// more than its engines can serve for a while, and less at other times.
+TEST(ExpectedTimeTest, ThreeZonesWithSwingingDemand) {
+  SimulationSetup setup;
+  setup.daemons = 9;
+  setup.zones = {"a", "b", "c"};
+  setup.engines = SkewedEngines(18);
+  for (std::size_t i = 0; i < setup.engines.size(); ++i) {
+    setup.engines[i].zone = setup.zones[i / 6];
+  }
+  Random random(15);
+  const double period_ms = 9000;
+  for (auto request : MakeTrace(400, 27, setup.daemons, 800, 15)) {
+    const auto zone = static_cast<double>(request.daemon % 3);
+    const auto phase = request.at_ms / period_ms + zone / 3;
+    const auto demand = 0.5 + 0.45 * std::sin(2 * 3.14159265 * phase);
+    if (random.Uniform() < demand) setup.trace.push_back(request);
+  }
+  const auto [old_choice, new_choice] = Compare("three zones", setup);
+  EXPECT_LT(new_choice.FirstEventQuantile(0.95),
+            old_choice.FirstEventQuantile(0.95));
+  EXPECT_LT(new_choice.OtherZoneShare(), old_choice.OtherZoneShare());
+  EXPECT_LE(new_choice.LateShare(500), old_choice.LateShare(500));
+}
+
+// Low demand must stay in its zone, whatever the speed of engines elsewhere is
+// within usual bounds.
+TEST(ExpectedTimeTest, LowDemandStaysInItsZone) {
+  SimulationSetup setup;
+  setup.daemons = 6;
+  setup.zones = {"a", "b"};
+  setup.engines = SkewedEngines(12);
+  for (std::size_t i = 0; i < setup.engines.size(); ++i) {
+    setup.engines[i].zone = setup.zones[i / 6];
+  }
+  setup.trace = MakeTrace(50, 15, setup.daemons, 800, 16);
+  const auto [old_choice, new_choice] = Compare("low demand", setup);
+  EXPECT_LT(new_choice.OtherZoneShare(), 0.03);
+}
+
+// An upstream whose factor no daemon knows must get trial requests, and no more
+// than a small part of all.
+TEST(ExpectedTimeTest, UnknownUpstreamsGetABoundedShareOfTrials) {
+  UpstreamTable table;
+  for (int i = 0; i < 20; ++i) {
+    auto record = MakeRecord("e" + std::to_string(i));
+    table.Upsert(record, At(0));
+    const auto entry = table.Find(record.id);
+    if (i == 0) {
+      // It is so busy that it would not be chosen otherwise.
+      entry->requests = 15;
+    } else {
+      table.ObserveWorkFactor(*entry, 0.7, At(0));
+    }
+  }
+  SelectionRequest request;
+  request.pool = PoolId("p");
+  request.zone = AvailabilityZoneId("a");
+  Random random(4);
+  int trials = 0;
+  for (int i = 0; i < 5000; ++i) {
+    const auto ranked =
+        UpstreamSelector().Rank(table, request, {}, random, At(1));
+    trials += ranked->front().upstream->record.id == UpstreamId("e0") ? 1 : 0;
+  }
+  EXPECT_GT(trials, 50);
+  EXPECT_LT(trials, 200);
+}
+
+// Requests with the same prompt prefix must prefer one upstream, also if only a
+// few of the others are compared; it has the prefix cached.
+TEST(ExpectedTimeTest, RequestsWithOnePrefixPreferOneUpstream) {
+  UpstreamTable table;
+  for (int i = 0; i < 20; ++i) {
+    const auto record = MakeRecord("e" + std::to_string(i));
+    table.Upsert(record, At(0));
+    table.ObserveWorkFactor(*table.Find(record.id), 0.7, At(0));
+  }
+  SelectionRequest request;
+  request.pool = PoolId("p");
+  request.zone = AvailabilityZoneId("a");
+  Random random(4);
+  const auto largest_share = [&] {
+    std::map<UpstreamId, int> sent;
+    for (int i = 0; i < 1000; ++i) {
+      const auto ranked =
+          UpstreamSelector().Rank(table, request, {}, random, At(1));
+      ++sent[ranked->front().upstream->record.id];
+    }
+    int largest = 0;
+    for (const auto& [id, count] : sent) largest = std::max(largest, count);
+    return largest;
+  };
+  EXPECT_LT(largest_share(), 100);
+  request.shared_prefix_hash = 77;
+  EXPECT_GT(largest_share(), 300);
+}
+
+// In a large pool only some upstreams are looked at, but one that is the only
+// eligible one must be found, and reasons must be exact.
+TEST(ExpectedTimeTest, LargePoolFindsTheOnlyEligibleUpstream) {
+  UpstreamTable table;
+  for (int i = 0; i < 1000; ++i) {
+    auto record = MakeRecord("e" + std::to_string(i));
+    record.zone = AvailabilityZoneId(i % 2 == 0 ? "a" : "b");
+    record.leaving = i != 777;
+    table.Upsert(record, At(0));
+  }
+  const auto only = table.Find(UpstreamId("e777"));
+  table.ObserveWorkFactor(*only, 1.7, At(0));
+  SelectionRequest request;
+  request.pool = PoolId("p");
+  request.zone = AvailabilityZoneId("a");
+  Random random(4);
+  for (int i = 0; i < 20; ++i) {
+    const auto ranked =
+        UpstreamSelector().Rank(table, request, {}, random, At(1));
+    ASSERT_TRUE(ranked);
+    EXPECT_EQ(ranked->front().upstream, only);
+  }
+  request.model = ModelId("m");
+  EXPECT_EQ(UpstreamSelector().Rank(table, request, {}, random, At(1)).error(),
+            SelectionFailure::kNoModel);
+  only->record.leaving = true;
+  EXPECT_EQ(UpstreamSelector().Rank(table, request, {}, random, At(1)).error(),
+            SelectionFailure::kNoUpstream);
+}
+
 }  // namespace
 }  // namespace dotterellug::serving
--- a/modules/serving/tests/load_simulation.h
+++ b/modules/serving/tests/load_simulation.h
@@ -49,6 +49,8 @@
   std::vector<std::string> zones = {"a"};
   std::vector<SimulatedRequest> trace;
   double report_interval_ms = 150;
+  // Whether all daemons get their reports at the same time.
+  bool same_report = false;
   // Whether engines state their factors.
   bool states_factors = true;
 };
@@ -64,6 +66,8 @@
   double estimate_error_ms = 0;
   int estimates = 0;
   int refused = 0;
+  // Largest number of requests that one engine got in 10 ms.
+  int largest_burst = 0;
   // Largest number of requests in an engine, as a multiple of its slots.
   double deepest_queue = 0;
 
@@ -92,10 +96,10 @@
     std::printf(
         "%s, %s: first event mean %.0f p50 %.0f p95 %.0f p99 %.0f ms, total "
         "%.0f ms, later than 500 ms %.3f, refused %d, other zone %.3f, deepest "
-        "queue %.2f, estimate off by %.0f ms\n",
+        "queue %.2f, largest burst %d, estimate off by %.0f ms\n",
         load, choice, FirstEventMean(), FirstEventQuantile(0.5),
         FirstEventQuantile(0.95), FirstEventQuantile(0.99), TotalMean(),
-        LateShare(500), refused, OtherZoneShare(), deepest_queue,
+        LateShare(500), refused, OtherZoneShare(), deepest_queue, largest_burst,
         estimates > 0 ? estimate_error_ms / estimates : 0);
   }
 
@@ -115,7 +119,7 @@
  public:
   explicit LoadSimulation(SimulationSetup setup) : setup_(std::move(setup)) {
     for (const auto& engine : setup_.engines) {
-      engines_.push_back({engine, {}, {}, 0});
+      engines_.push_back({engine, {}, {}});
     }
     for (std::size_t i = 0; i < setup_.daemons; ++i) {
       auto daemon = std::make_unique<Daemon>(i);
@@ -167,7 +171,9 @@
     SimulatedEngine spec;
     std::deque<Job> waiting;
     std::vector<Job> running;
-    std::size_t prefilling = 0;
+    // The last 10 ms in which it got requests, and how many.
+    int slice = -1;
+    int in_slice = 0;
   };
   struct ReportedUse {
     std::int64_t requests = 0;
@@ -197,8 +203,10 @@
   auto Report(double ms) -> void {
     const auto interval = setup_.report_interval_ms;
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
-      const auto phase = std::floor(interval * static_cast<double>(i) /
-                                    static_cast<double>(daemons_.size()));
+      const auto phase = setup_.same_report
+                             ? 0
+                             : std::floor(interval * static_cast<double>(i) /
+                                          static_cast<double>(daemons_.size()));
       if (std::fmod(ms - phase, interval) != 0) continue;
       auto& daemon = *daemons_[i];
       for (std::size_t e = 0; e < engines_.size(); ++e) {
@@ -247,6 +255,10 @@
     view->prefill_tokens += request.prefill_tokens;
     job.prefill_ahead = static_cast<std::int64_t>(view->TotalPrefillTokens());
     ++result_.sent[index];
+    const auto slice = static_cast<int>(ms / 10);
+    if (engine.slice != slice) engine.in_slice = 0;
+    engine.slice = slice;
+    result_.largest_burst = std::max(result_.largest_burst, ++engine.in_slice);
     result_.other_zone.push_back(view->record.zone != daemon.zone);
     ++running_;
     engine.waiting.push_back(job);
