Take the speed of engines into account when planning model copies

Cause: the planner counted a copy on an engine that takes 2.4 times as long like any other.

Change: an engine's demand is multiplied by its usual work factor, relative to the mean of the pool, and the demand per copy of a model is divided by the speed of the engines that hold it. Where no factor is known the plans are the same.

--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -344,6 +344,9 @@
         context_.upstreams.Usable(*engine.upstream) && now >= engine.dead_until;
     copy.busy = !engine.known || engine.order_pending || engine.weight_order ||
                 engine.closing || unanswered_.Waits(id, now);
+    if (engine.upstream->work_factor.Known()) {
+      copy.work_factor = engine.upstream->work_factor.Usual();
+    }
     copy.load = static_cast<double>(fleet_.Hub().RequestsInFlight(id)) /
                 static_cast<double>(std::max<std::int64_t>(record.slots, 1));
     copy.capacity_mb =
--- a/modules/placement/copies/copy_planner.cc
+++ b/modules/placement/copies/copy_planner.cc
@@ -31,6 +31,7 @@
         static_cast<double>(std::max<std::size_t>(input.engines.size(), 1));
     min_demand_ =
         options_.additional_copy_demand_fraction * mean_engine_demand_;
+    SetMeanWorkFactor();
     for (const auto& engine : input.engines) AddEngine(engine);
   }
 
@@ -54,11 +55,16 @@
     CopyPlannerModel spec;
     // Copies on usable engines, after the steps planned so far.
     int copies = 0;
+    // Sum of the speeds of these engines, without steps planned so far.
+    double speed = 0;
+    int engines_with_speed = 0;
     // Engines that hold it.
     std::vector<EngineIndex> engines;
   };
   struct Engine {
     bool unavailable = false;
+    // Time that work takes, relative to the mean of the pool's engines.
+    double slowness = 1;
     double free_memory_mb = 0;
     // Models in the order of their ids.
     std::vector<ModelIndex> held;
@@ -79,17 +85,34 @@
     for (const auto& id : ids) indexes.insert(AddModel({id}));
     return indexes;
   }
+  // Engines whose factor is not known are taken to be average ones.
+  auto SetMeanWorkFactor() -> void {
+    double sum = 0;
+    int known = 0;
+    for (const auto& engine : input_.engines) {
+      if (!engine.work_factor) continue;
+      sum += *engine.work_factor;
+      ++known;
+    }
+    if (known > 0) mean_work_factor_ = sum / known;
+  }
   auto AddEngine(const CopyPlannerEngine& input) -> void {
     const EngineIndex index = engines_.size();
     Engine engine;
     engine.unavailable = input.busy || !input.usable;
+    if (input.work_factor && mean_work_factor_ > 0) {
+      engine.slowness = *input.work_factor / mean_work_factor_;
+    }
     engine.free_memory_mb = input.capacity_mb - input.adapter_mb;
     for (const auto& id : input.models) {
       const auto model = AddModel({id});
       engine.held.push_back(model);
       engine.free_memory_mb -= models_[model].spec.weight_mb;
       models_[model].engines.push_back(index);
-      if (input.usable) ++models_[model].copies;
+      if (!input.usable) continue;
+      ++models_[model].copies;
+      ++models_[model].engines_with_speed;
+      models_[model].speed += 1 / engine.slowness;
     }
     engine.cached = IndexesOf(input.cached);
     engine.recently_loaded = IndexesOf(input.recently_loaded);
@@ -98,16 +121,21 @@
 
   // Demand per copy if the model had `added_copies` more copies than now.
   auto DemandPerCopy(ModelIndex model, int added_copies) const -> double {
-    const auto copies = std::max(models_[model].copies + added_copies, 0);
-    return models_[model].spec.demand / std::max(copies, 1);
+    const auto& held = models_[model];
+    const auto copies = std::max(held.copies + added_copies, 0);
+    // Copies gained or lost are taken to be as fast as the others.
+    const auto speed =
+        held.engines_with_speed > 0 ? held.speed / held.engines_with_speed : 1;
+    return held.spec.demand / (std::max(copies, 1) * speed);
   }
-  // Expected demand on the engine: its models' demand per copy, summed up.
-  auto EngineDemand(EngineIndex index) const -> double {
-    double demand = 0;
+  // Expected demand on the engine: its models' demand per copy, summed up, and
+  // `added`, relative to the engine's speed.
+  auto EngineDemand(EngineIndex index, double added) const -> double {
+    double demand = added;
     for (const auto model : engines_[index].held) {
       demand += DemandPerCopy(model, 0);
     }
-    return demand;
+    return demand * engines_[index].slowness;
   }
   auto IsCached(EngineIndex index, ModelIndex model) const -> bool {
     return engines_[index].cached.count(model) > 0;
@@ -172,8 +200,8 @@
       }
       const bool is_cached = IsCached(i, model);
       if (store_loads_left_ <= 0 && !is_cached) continue;
-      const auto score =
-          EngineDemand(i) - (is_cached ? 0.5 * total_demand_ : 0);
+      const auto score = EngineDemand(i, DemandPerCopy(model, 1)) -
+                         (is_cached ? 0.5 * total_demand_ : 0);
       if (best && score >= best_score) continue;
       best = i;
       best_score = score;
@@ -232,7 +260,8 @@
           continue;
         }
         if (engine.recently_loaded.count(victim) > 0) continue;
-        const auto score = cost + 0.3 * EngineDemand(i) -
+        const auto score = cost +
+                           0.3 * EngineDemand(i, DemandPerCopy(model, 1)) -
                            (is_cached ? 0.2 * total_demand_ : 0);
         if (best && score >= best_score) continue;
         best = std::pair(i, victim);
@@ -320,6 +349,7 @@
   std::size_t requested_count_ = 0;
   double total_demand_ = 0;
   double mean_engine_demand_ = 0;
+  double mean_work_factor_ = 0;
   double min_demand_ = 0;
   std::vector<Engine> engines_;
   std::vector<CopyOrder> orders_;
--- a/modules/placement/copies/copy_planner.h
+++ b/modules/placement/copies/copy_planner.h
@@ -34,6 +34,9 @@
   bool busy = false;
   // Requests in flight as a fraction of the engine's request slots.
   double load = 0;
+  // How long work usually takes on its machine, relative to a usual machine;
+  // not set if it is not known.
+  std::optional<double> work_factor;
   // Memory for weights and adapters in MB.
   double capacity_mb = 0;
   // Memory reserved for adapters in MB.
@@ -94,7 +97,8 @@
 // Designed for this pattern of requests: a few models receive most of them, and
 // which models these are changes within seconds. Most models are requested once
 // in ten seconds or less often, yet one copy of each takes most of the memory.
-// Memory goes to the models with the highest demand per copy. Every model keeps
+// Memory goes to the models with the highest demand per copy, where a copy on a
+// fast engine counts as more than one on a slow engine. Every model keeps
 // one copy as long as the engines of the models in high demand are not highly
 // loaded. A rare model without a copy is loaded when it is requested, from the
 // memory or disk of an engine that has it cached, or before that if memory is
--- a/modules/placement/tests/copies_tests.cc
+++ b/modules/placement/tests/copies_tests.cc
@@ -99,6 +99,36 @@
   for (const auto& step : orders) EXPECT_EQ(step.kind, CopyOrderKind::kLoad);
 }
 
+// Guards against a copy on a slow engine while a fast one has memory for it,
+// and against a plan that counts copies on slow engines like fast ones.
+TEST(CopyPlannerTest, TakesTheSpeedOfEnginesIntoAccount) {
+  CopyPlannerInput input;
+  input.models = {MakeModel("a", 50), MakeModel("b", 40)};
+  input.engines = {MakeEngine("slow", {}), MakeEngine("fast", {}),
+                   MakeEngine("x", {kA})};
+  input.engines[0].work_factor = 1.7;
+  input.engines[1].work_factor = 0.7;
+  input.max_weight_store_loads = 1;
+  auto orders = CopyPlanner().Plan(input);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].engine, UpstreamId("fast"));
+  // Model a has two copies on slow engines, b two on fast ones, and there is
+  // memory for one more copy.
+  input.models = {MakeModel("a", 100), MakeModel("b", 110)};
+  input.engines = {MakeEngine("s1", {kA}, 70), MakeEngine("s2", {kA}, 70),
+                   MakeEngine("f1", {kB}, 70), MakeEngine("f2", {kB}, 70),
+                   MakeEngine("free", {}, 70)};
+  orders = CopyPlanner().Plan(input);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].model, kB);
+  for (std::size_t i = 0; i < 4; ++i) {
+    input.engines[i].work_factor = i < 2 ? 1.7 : 0.7;
+  }
+  orders = CopyPlanner().Plan(input);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].model, kA);
+}
+
 TEST(CopyPlannerTest, PlansNothingWhenDemandIsBalanced) {
   CopyPlannerInput input;
   input.models = {MakeModel("a", 100), MakeModel("b", 90), MakeModel("c", 110)};
