--- a/modules/serving/fleet/upstream_table.cc
+++ b/modules/serving/fleet/upstream_table.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace dotterellug::serving {
+namespace {
+
+// An upstream is counted as slow if work takes longer than this multiple of the
+// usual time. Measured slow periods have a multiple of 2.5.
+constexpr double kSlowFactor = 1.5;
+
+}  // namespace
 
 auto UpstreamTable::Upsert(const UpstreamRecord& record, Timestamp now)
     -> void {
@@ -46,6 +53,30 @@
   return found == by_pool_.end() ? none : found->second;
 }
 
+auto UpstreamTable::ObserveWorkFactor(UpstreamView& upstream, double factor,
+                                      Timestamp at) -> bool {
+  pools_with_factors_.insert(upstream.record.pool);
+  return upstream.work_factor.Observe(factor, at);
+}
+
+auto UpstreamTable::AdoptWorkFactor(UpstreamView& upstream,
+                                    const SharedWorkFactor& fact, Timestamp at)
+    -> void {
+  pools_with_factors_.insert(upstream.record.pool);
+  upstream.work_factor.Adopt(fact, at);
+}
+
+auto UpstreamTable::CountWorkFactors(Timestamp now) const -> WorkFactorCounts {
+  WorkFactorCounts counts;
+  for (const auto& [id, upstream] : upstreams_) {
+    const auto& factor = upstream->work_factor;
+    if (!factor.Known()) continue;
+    ++counts.known;
+    if (factor.Expected(now) > kSlowFactor * factor.Usual()) ++counts.slow;
+  }
+  return counts;
+}
+
 auto UpstreamTable::Usable(const UpstreamView& upstream) const -> bool {
   return !upstream.record.leaving &&
          !backpressure_.Leaving(upstream.record.id) &&
