Serve waiting requests in the order of admission and keep engine queues short

Requests that found no upstream were tried again in order of arrival behind new ones.

Change: in pools whose routes differ in priority or latency target, requests wait in WaitingQueue (modules/admission): in time before late, by priority, by turns of accounts, by latest start. Levels behind others are owed a share of the started work. A request may wait at an engine for half of its time to the target (EngineWait), counting only requests at least as urgent. Requests that would wait in vain are refused on arrival. Slots are filled when a request ends instead of at the next tick. Other pools are served as before.

--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <string>
@@ -16,6 +17,10 @@
 // together.
 constexpr auto kLogDelay = std::chrono::milliseconds(4);
 
+// Several slots that become free within this time are filled together, since
+// each search for one costs time on a small share of a processor.
+constexpr auto kServeDelay = std::chrono::milliseconds(4);
+
 auto LogQuarantineChange(EventLog& log,
                          const quarantine::QuarantineChange& change,
                          Timestamp now) -> void {
@@ -85,7 +90,8 @@
       connections(event_loop, {}),
       random(seed),
       started_at(MonotonicNow()),
-      log_timer(event_loop) {
+      log_timer(event_loop),
+      serve_timer(event_loop) {
   log.OnBuffered([this] {
     log_timer.expires_after(kLogDelay);
     log_timer.async_wait([this](boost::system::error_code error) {
@@ -107,6 +113,41 @@
   // Requests that were parked meanwhile come behind.
   still.insert(still.end(), parked.begin(), parked.end());
   parked = std::move(still);
+  ServeWaiting(now);
+}
+
+auto GatewayContext::ServeWaiting(Timestamp now) -> void {
+  bool any = false;
+  for (auto& [id, pool] : waiting) {
+    BlockedRequests blocked;
+    for (const auto& turn : pool.order.Order(now)) {
+      const auto found = pool.requests.find(turn.ticket);
+      if (found == pool.requests.end()) continue;
+      // Kept alive, since the request leaves the queue in its turn.
+      const auto exchange = found->second;
+      exchange->TakeTurn(turn.owed, blocked, now);
+      any = true;
+    }
+  }
+  if (!any) return;
+  parked.erase(std::remove_if(
+                   parked.begin(), parked.end(),
+                   [](const auto& exchange) { return !exchange->IsWaiting(); }),
+               parked.end());
+}
+
+auto GatewayContext::ServeWaitingSoon() -> void {
+  const bool none = std::all_of(
+      waiting.begin(), waiting.end(),
+      [](const auto& entry) { return entry.second.requests.empty(); });
+  if (none || serves_soon) return;
+  serves_soon = true;
+  serve_timer.expires_after(kServeDelay);
+  serve_timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    serves_soon = false;
+    ServeWaiting(MonotonicNow());
+  });
 }
 
 auto GatewayContext::OpenExchanges() const
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/admission.h"
 #include "core/core.h"
 #include "daemon/gateway/dialect.h"
 #include "daemon/gateway/gateway_metrics.h"
@@ -25,6 +26,13 @@
 
 class RequestExchange;
 
+// The requests of one pool that wait for capacity, and the order in which they
+// get it.
+struct PoolQueue {
+  WaitingQueue order;
+  std::map<QueueTicket, std::shared_ptr<RequestExchange>> requests;
+};
+
 // What all requests of a gateway share. Used by the event loop's thread only.
 struct GatewayContext {
   GatewayContext(boost::asio::io_context& event_loop,
@@ -33,6 +41,12 @@
 
   // Lets every parked request try to go on; those that still wait stay parked.
   auto RetryParked(Timestamp now) -> void;
+  // Lets the requests that wait for capacity try to go on in the order of
+  // their pool's queue.
+  auto ServeWaiting(Timestamp now) -> void;
+  // Calls ServeWaiting soon, because capacity has become available or a request
+  // has arrived behind others.
+  auto ServeWaitingSoon() -> void;
   // The requests without a final answer. Ending one removes it from
   // `open_requests`.
   auto OpenExchanges() const -> std::vector<std::shared_ptr<RequestExchange>>;
@@ -77,6 +91,11 @@
   std::vector<fleet::MissingAdapter> missing_adapters;
   // Requests that wait for tokens or for an upstream, in order of arrival.
   std::vector<std::shared_ptr<RequestExchange>> parked;
+  // Those of them that wait for capacity of a pool whose routes differ in
+  // priority or latency target.
+  std::map<PoolId, PoolQueue> waiting;
+  // What is known of the waits at engines.
+  serving::EngineWait engine_wait;
   // Reports to the hub at once, because a request waits for its answer.
   std::function<void()> report_now;
   // Whether this daemon does not know yet which prompt parts the fleet has
@@ -98,6 +117,8 @@
   // Writes buffered log lines shortly after the first of them, so that a
   // process that is killed has written what it decided.
   boost::asio::steady_timer log_timer;
+  boost::asio::steady_timer serve_timer;
+  bool serves_soon = false;
 };
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -65,6 +65,9 @@
 constexpr int kSilenceGoals = 2;
 // Requests waiting at an upstream beyond its slots, as a part of the slots.
 constexpr double kQueuePart = 1.0;
+// An upstream with at most this part of its slots in use has a free one,
+// although the load of other daemons is known with a delay.
+constexpr double kCertainSlotPart = 0.75;
 // An upstream that delivers this many events of a stream works on its prompt.
 constexpr std::int64_t kWorkingEvents = 2;
 // Not-run answers after which a request is refused.
@@ -277,8 +280,21 @@
   if (!listed) context_.parked.push_back(shared_from_this());
 }
 
+auto RequestExchange::TakeTurn(bool owed, BlockedRequests& blocked,
+                               Timestamp now) -> void {
+  if (!IsWaiting() || !ticket_) return;
+  const auto facts = QueueFacts();
+  const bool ends = now >= waits_until_;
+  if (!owed && !ends && blocked.Contains(facts, now)) return;
+  owed_ = owed;
+  Dispatch(now);
+  owed_ = false;
+  if (!owed && ticket_) blocked.Add(facts, now);
+}
+
 auto RequestExchange::Retry(Timestamp now) -> bool {
   if (done_ || waiting_ == Waiting::kNothing) return false;
+  if (ticket_) return true;
   if (waiting_ == Waiting::kConfiguration) {
     if (!context_.catalog && now < waits_until_) return true;
     waiting_ = Waiting::kNothing;
@@ -334,7 +350,7 @@
   serving::SelectionRequest choice;
   choice.pool = pool_->id;
   serving::PoolCapacity facts;
-  facts.queue_fraction = kQueuePart;
+  facts.queue_fraction = QueuePart(now);
   if (pool_->engine) {
     choice.model = request_.model;
     choice.adapter = request_.adapter;
@@ -395,6 +411,7 @@
 auto RequestExchange::Dispatch(Timestamp now) -> void {
   if (pool_ == nullptr) pool_ = ChoosePool();
   if (pool_ == nullptr) return Refuse(503, "no_pool", ReturnDelay());
+  ordered_ = catalog_->HasUnequalRoutes(pool_->id);
   if (deadline_ - now < kLeastTime) {
     return Refuse(503, "no_time_left", std::nullopt);
   }
@@ -406,6 +423,7 @@
     return Park(Waiting::kFleetEvidence, deadline_);
   }
   if (RejectQuarantined(now)) return;
+  if (ArrivesBehindOthers(now)) return AwaitCapacity(now);
   const auto ranked = Rank(now);
   if (AwaitsPreferred(ranked, now)) {
     return ParkForPermit(ranked->front().upstream->record.id, now);
@@ -413,6 +431,9 @@
   const auto upstream = Choose(ranked, now);
   if (!upstream) return ParkForUpstream(upstream.error(), now);
   waiting_ = Waiting::kNothing;
+  LeaveQueue();
+  if (ordered_)
+    context_.waiting[pool_->id].order.RecordStart(QueueFacts(), now);
   BeginTrial(now);
   SendTo(*upstream, now);
 }
@@ -420,6 +441,7 @@
 // Waits a moment for a permit for the preferred upstream, which states a rate.
 auto RequestExchange::ParkForPermit(const UpstreamId& preferred, Timestamp now)
     -> void {
+  LeaveQueue();
   without_permit_ = {preferred};
   if (!preference_ends_at_) {
     preference_ends_at_ = std::min<Timestamp>(
@@ -442,6 +464,11 @@
   }
   waits_for_ = ReasonName(reason);
   const bool rate_used_up = !without_permit_.empty();
+  if (ordered_ && reason == SelectionFailure::kNoneEligible && !rate_used_up &&
+      ran_ == 0) {
+    return AwaitCapacity(now);
+  }
+  LeaveQueue();
   if (rate_used_up) waits_for_ = "upstream_rate_used_up";
   const bool exists = reason == SelectionFailure::kNoneEligible ||
                       reason == SelectionFailure::kPaused;
@@ -459,6 +486,63 @@
   Refuse(503, waits_for_, std::max(ReturnDelay(), pause));
 }
 
+auto RequestExchange::QueueFacts() const -> WaitingRequest {
+  const auto& engine_wait = context_.engine_wait;
+  WaitFacts facts;
+  facts.arrival = arrival_;
+  facts.deadline = deadline_;
+  facts.latency_target = route_->latency_target;
+  facts.patience = FirstEventPatience();
+  facts.first_event = engine_wait.FirstEvent(route_->name);
+  facts.work = engine_wait.SlotTime(route_->name).value_or(Duration::zero());
+  auto request = MakeWaitingRequest(facts);
+  request.account = account_;
+  request.kind = request_.model.Value() + ' ' + request_.adapter.Value();
+  request.priority = priority_;
+  request.expected_late = expected_late_;
+  return request;
+}
+
+auto RequestExchange::QueuePart(Timestamp now) const -> double {
+  // A request that an upstream did not run has had its turn.
+  if (!ordered_ || owed_ || sent_ > 0) return kQueuePart;
+  return context_.engine_wait.QueueFraction(
+      pool_->id, priority_, QueueFacts().AllowedUpstreamWait(now), kQueuePart);
+}
+
+auto RequestExchange::ArrivesBehindOthers(Timestamp now) const -> bool {
+  if (!ordered_ || ticket_ || sent_ > 0) return false;
+  const auto queue = context_.waiting.find(pool_->id);
+  if (queue == context_.waiting.end()) return false;
+  return queue->second.order.OthersBefore(QueueFacts(), now);
+}
+
+auto RequestExchange::AwaitCapacity(Timestamp now) -> void {
+  waits_for_ = ReasonName(SelectionFailure::kNoneEligible);
+  const auto facts = QueueFacts();
+  if (now >= facts.give_up) return Refuse(503, waits_for_, ReturnDelay());
+  if (!ticket_) {
+    auto& queue = context_.waiting[pool_->id];
+    const auto decision = queue.order.Decide(facts, now);
+    if (decision == WaitDecision::kRefuse) {
+      return Refuse(503, "no_capacity_in_time", ReturnDelay());
+    }
+    expected_late_ = decision == WaitDecision::kLate;
+    ticket_ = queue.order.Add(QueueFacts());
+    queue.requests.emplace(*ticket_, shared_from_this());
+    context_.ServeWaitingSoon();
+  }
+  Park(Waiting::kUpstream, facts.give_up);
+}
+
+auto RequestExchange::LeaveQueue() -> void {
+  if (!ticket_) return;
+  auto& queue = context_.waiting.at(pool_->id);
+  queue.order.Remove(*ticket_);
+  queue.requests.erase(*ticket_);
+  ticket_.reset();
+}
+
 auto RequestExchange::AwaitPermit(Timestamp now) -> bool {
   if (without_permit_.empty()) return false;
   const auto refused = [&](const UpstreamId& upstream) {
@@ -582,6 +666,11 @@
   if (answering_) fields.after_event = events_.LastEventId();
   attempt_ = Attempt{};
   attempt_->upstream = upstream;
+  attempt_->had_slot =
+      upstream->TotalRequests() <=
+      kCertainSlotPart * static_cast<double>(upstream->record.slots);
+  attempt_->unanswered = true;
+  context_.engine_wait.AddUnanswered(pool_->id, priority_, 1);
   attempt_->prefill_tokens = UncachedPromptTokens(request_);
   upstream->prefill_tokens += attempt_->prefill_tokens;
   attempt_->sent_at = now;
@@ -766,6 +855,7 @@
       RecordAnswerPart(now);
       if (!attempt.first_event_seen) {
         attempt.first_event_seen = true;
+        attempt.first_event_at = now;
         attempt.upstream->RecordSuccess(now);
         EndPrefill();
       }
@@ -857,6 +947,11 @@
   if (attempt_->status / 100 != 2 || ran_ > 1) return;
   context_.service_times.Observe(route_->name, MaxOutputTokens(),
                                  now - attempt_->sent_at);
+  const auto first_event_at =
+      attempt_->first_event_seen ? attempt_->first_event_at : now;
+  context_.engine_wait.Observe(pool_->id, priority_, route_->name,
+                               first_event_at - attempt_->sent_at,
+                               attempt_->had_slot, now - first_event_at);
 }
 
 auto RequestExchange::PassWholeAnswer() -> void {
@@ -969,6 +1064,9 @@
 auto RequestExchange::EndPrefill() -> void {
   attempt_->upstream->prefill_tokens -=
       std::exchange(attempt_->prefill_tokens, 0);
+  if (std::exchange(attempt_->unanswered, false)) {
+    context_.engine_wait.AddUnanswered(pool_->id, priority_, -1);
+  }
 }
 
 auto RequestExchange::CloseAttempt() -> void {
@@ -978,6 +1076,7 @@
   attempt_->upstream->requests -= 1;
   attempt_->upstream->tokens -= tokens;
   attempt_.reset();
+  context_.ServeWaitingSoon();
 }
 
 auto RequestExchange::DropAttempt() -> void {
@@ -1032,6 +1131,7 @@
   if (done_) return;
   done_ = true;
   waiting_ = Waiting::kNothing;
+  LeaveQueue();
   timer_.cancel();
   open_requests_->erase(this);
   session_->OnGone(nullptr);
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/admission.h"
 #include "core/core.h"
 #include "daemon/gateway/gateway_context.h"
 #include "daemon/gateway/request_trace.h"
@@ -27,6 +28,12 @@
   auto Start() -> void;
   // Tries again to go on with a parked request. Returns whether it still waits.
   auto Retry(Timestamp now) -> bool;
+  // Tries to go on with a request that is in its pool's queue, unless others
+  // like it have just found no capacity. `owed` as in WaitingQueue::Turn.
+  auto TakeTurn(bool owed, BlockedRequests& blocked, Timestamp now) -> void;
+  auto IsWaiting() const -> bool {
+    return !done_ && waiting_ != Waiting::kNothing;
+  }
   // Adds the tokens that it waits for to what this daemon asks its hub for.
   auto StateNeed() const -> void;
   // Gives the request its final answer unless the answer has begun: the process
@@ -63,6 +70,12 @@
     std::int64_t events_before = 0;
     // Part of the upstream's unread prompt tokens until its first event.
     std::int64_t prefill_tokens = 0;
+    // Counted in EngineWait as unanswered.
+    bool unanswered = false;
+    // Whether the upstream certainly had a free slot.
+    bool had_slot = false;
+    // Zero before the first event of a stream.
+    Timestamp first_event_at{};
     // The answer is not passed on; another attempt follows when it has ended.
     bool discard = false;
     std::size_t discarded_bytes = 0;
@@ -120,6 +133,16 @@
   auto Park(Waiting reason, Timestamp until) -> void;
   auto ParkForPermit(const UpstreamId& preferred, Timestamp now) -> void;
   auto ParkForUpstream(serving::SelectionFailure reason, Timestamp now) -> void;
+  // What the order of the pool's queue depends on.
+  auto QueueFacts() const -> WaitingRequest;
+  // Requests that may wait at an engine, as a part of its slots.
+  auto QueuePart(Timestamp now) const -> double;
+  // Whether the request must wait behind others although it has just arrived.
+  auto ArrivesBehindOthers(Timestamp now) const -> bool;
+  // Waits in the pool's queue for capacity, or refuses the request if it would
+  // wait in vain.
+  auto AwaitCapacity(Timestamp now) -> void;
+  auto LeaveQueue() -> void;
   // Chooses the upstream for which the request awaits a permit. Returns whether
   // it is a new one, so that the hub should be asked.
   auto AwaitPermit(Timestamp now) -> bool;
@@ -198,6 +221,9 @@
   std::shared_ptr<const serving::ServingCatalog> catalog_;
   const serving::ServiceRoute* route_ = nullptr;
   const serving::ServicePool* pool_ = nullptr;
+  // Whether the pool's requests wait in its queue, in the order of
+  // WaitingQueue.
+  bool ordered_ = false;
   ClientAccountId account_;
   int priority_ = 5;
   Timestamp arrival_;
@@ -218,6 +244,13 @@
   // not set before the first time.
   std::optional<Timestamp> preference_ends_at_;
 
+  // The request's place in its pool's queue, if it has one.
+  std::optional<QueueTicket> ticket_;
+  // Whether it was expected to be late when it began to wait in the queue.
+  bool expected_late_ = false;
+  // Whether its level is owed work, while it takes its turn.
+  bool owed_ = false;
+
   // Sent to find out whether a quarantined prompt part still ends upstreams.
   bool trial_ = false;
   // Because of which the request was rejected; empty if it was not.
--- a/modules/admission/queue/drain_rate.cc
+++ b/modules/admission/queue/drain_rate.cc
@@ -8,7 +8,7 @@
                             Timestamp now) -> void {
   if (last_busy_start_) {
     const auto elapsed = ToSeconds(now - *last_busy_start_);
-    const auto decay_factor = std::exp(-elapsed / kDecayTimeConstantSeconds);
+    const auto decay_factor = std::exp(-elapsed / decay_seconds_);
     tokens_ = tokens_ * decay_factor + static_cast<double>(cost.Value());
     seconds_ = seconds_ * decay_factor + elapsed;
   }
--- a/modules/admission/queue/drain_rate.h
+++ b/modules/admission/queue/drain_rate.h
@@ -12,6 +12,11 @@
 // starts are limited by arrivals rather than by capacity and are not counted.
 class DrainRate {
  public:
+  // `decay_time` is the time constant of the average: a longer one tolerates
+  // gaps between starts, a shorter one follows changes of the capacity sooner.
+  explicit DrainRate(Duration decay_time = std::chrono::seconds(10))
+      : decay_seconds_(ToSeconds(decay_time)) {}
+
   // Records the start of a request of `cost` tokens; `requests_left_waiting` is
   // true if the queue still holds requests after it.
   auto RecordStart(Tokens cost, bool requests_left_waiting, Timestamp now)
@@ -21,9 +26,9 @@
   auto TokensPerSecond() const -> std::optional<double>;
 
  private:
-  static constexpr double kDecayTimeConstantSeconds = 10.0;
   static constexpr double kMinBusySeconds = 0.5;
 
+  double decay_seconds_;
   // Decayed sums over the time in which requests were waiting.
   double tokens_ = 0;
   double seconds_ = 0;
--- a/modules/serving/catalog/serving_catalog.cc
+++ b/modules/serving/catalog/serving_catalog.cc
@@ -1,5 +1,6 @@
 #include "serving/catalog/serving_catalog.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dotterellug::serving {
@@ -52,6 +53,24 @@
   return found == accounts_.end() ? nullptr : &found->second;
 }
 
+auto ServingCatalog::HasUnequalRoutes(const PoolId& pool) const -> bool {
+  const ServiceRoute* first = nullptr;
+  for (const auto& [host, prefixes] : routes_) {
+    for (const auto& [prefix, route] : prefixes) {
+      const auto uses =
+          std::any_of(route.pools.begin(), route.pools.end(),
+                      [&](const auto& part) { return part.pool == pool; });
+      if (!uses) continue;
+      if (first == nullptr) first = &route;
+      if (route.priority != first->priority ||
+          route.latency_target != first->latency_target) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 auto ServingCatalog::FindPool(const PoolId& id) const -> const ServicePool* {
   const auto found = pools_.find(id);
   return found == pools_.end() ? nullptr : &found->second;
--- a/modules/serving/catalog/serving_catalog.h
+++ b/modules/serving/catalog/serving_catalog.h
@@ -148,6 +148,9 @@
   // Number of API keys of all accounts.
   auto KeyCount() const -> std::size_t { return keys_.size(); }
   auto Pools() const -> const std::map<PoolId, ServicePool>& { return pools_; }
+  // Whether routes that use the pool differ in priority or latency target, so
+  // that the order in which its requests are served matters.
+  auto HasUnequalRoutes(const PoolId& pool) const -> bool;
   auto Accounts() const -> const std::map<ClientAccountId, ServiceAccount>& {
     return accounts_;
   }
--- a/modules/serving/serving.h
+++ b/modules/serving/serving.h
@@ -10,6 +10,7 @@
 #include "serving/backpressure/backpressure_table.h"
 #include "serving/catalog/serving_catalog.h"
 #include "serving/dispatch/cold_start_limiter.h"
+#include "serving/dispatch/engine_wait.h"
 #include "serving/dispatch/service_time_estimate.h"
 #include "serving/dispatch/upstream_selector.h"
 #include "serving/fleet/expired_upstream_retention.h"
