Bound what one response of an upstream decides

Cause: one response with status 421 took a plain upstream out of service until its entry in the store changed, or a model from an engine's record. Statuses outside 100 to 599 were passed to callers, interim responses had no bound, and a length stated with 204 or 304 reached the caller.

Change: an upstream whose response said that a request was misdirected is the last choice of its pool for 1 s, doubling to 4 s; then single trials follow until a success. Two responses in a row that name another instance exclude it for that time. A missing model is avoided in the same way. Daemons tell each other of such responses and of successes since, in an optional list of their reports. Pauses end after a minute, rates a minute after the last response that stated them, and leaving holds for the life of the process. Invalid status lines, status 101 and more than 16 interim responses are protocol errors.

--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "daemon/gateway/gateway.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "daemon/gateway/quarantine_page.h"
@@ -334,6 +335,12 @@
   metrics.Set(GatewayLevel::kRestrictedUpstreams,
               static_cast<double>(
                   context_.upstreams.Backpressure().RestrictedCount(now)));
+  const auto& upstreams = context_.upstreams.All();
+  metrics.Set(GatewayLevel::kAvoidedUpstreams,
+              static_cast<double>(std::count_if(
+                  upstreams.begin(), upstreams.end(), [&](const auto& item) {
+                    return item.second->Misdirected(now);
+                  })));
   metrics.Set(GatewayLevel::kOrderLeaseHeld, orders_.Leading() ? 1 : 0);
   metrics.Set(GatewayLevel::kStoreAnswerAge, age(lapsed_.LastResponseAt()));
   metrics.Set(GatewayLevel::kHubAnswerAge, age(context_.hub_answered_at));
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -55,7 +55,8 @@
 }
 
 auto LogBackpressureChange(EventLog& log,
-                           const serving::BackpressureChange& change) -> void {
+                           const serving::BackpressureChange& change,
+                           Duration rate_ends_in) -> void {
   auto line = log.Write(EventRank::kState, "upstream_backpressure");
   line.Add("upstream", change.upstream.Value())
       .Add("leaving", change.leaving)
@@ -64,7 +65,8 @@
     std::array<char, 32> rate{};
     std::snprintf(rate.data(), rate.size(), "%.3f",
                   *change.requests_per_second);
-    line.Add("requests_per_second", rate.data());
+    line.Add("requests_per_second", rate.data())
+        .AddMs("rate_ends_in_ms", rate_ends_in);
   }
   if (change.pause > Duration::zero()) line.AddMs("pause_ms", change.pause);
 }
@@ -135,7 +137,16 @@
 
 auto GatewayContext::UpdateBackpressure(Timestamp now) -> void {
   for (const auto& change : upstreams.Backpressure().TakeChanges()) {
-    LogBackpressureChange(log, change);
+    LogBackpressureChange(
+        log, change, upstreams.Backpressure().RateEndsIn(change.upstream, now));
+    if (change.source == serving::BackpressureSource::kAnswer) {
+      if (change.pause > Duration::zero()) {
+        metrics.Count(GatewayCounter::kAvoidances, "pause");
+      }
+      if (change.requests_per_second) {
+        metrics.Count(GatewayCounter::kAvoidances, "rate");
+      }
+    }
     permits.OnRateChanged(change.upstream);
   }
 }
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 8> kCounters{{
+const std::array<Name, 9> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -41,9 +41,12 @@
      "Copies of lists in the store asked of other daemons, by outcome."},
     {"dotterellug_gateway_log_lines_dropped_total", "event",
      "Log lines that did not fit the bounds, by event."},
+    {"dotterellug_gateway_upstream_avoidances_total", "reason",
+     "Decisions to avoid an upstream, or a model there, for a bounded time "
+     "because of an answer."},
 }};
 
-const std::array<Name, 12> kLevels{{
+const std::array<Name, 13> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -68,6 +71,9 @@
     {"dotterellug_gateway_restricted_upstreams", "",
      "Upstreams that state a rate of requests, leave, or asked to be left "
      "alone."},
+    {"dotterellug_gateway_avoided_upstreams", "",
+     "Upstreams that are avoided for a moment because their answers said that "
+     "requests were misdirected."},
 }};
 
 const std::array<Name, 4> kLatencies{{
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -20,6 +20,7 @@
   kStoreCalls,
   kCopyFetches,
   kDroppedLines,
+  kAvoidances,
 };
 
 // What a gateway states as it is now.
@@ -36,6 +37,7 @@
   kFleetHubDaemons,
   kQuarantinedParts,
   kRestrictedUpstreams,
+  kAvoidedUpstreams,
 };
 
 // Durations of requests, as histograms.
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -482,6 +482,7 @@
     const auto& id = entry->record.id;
     if (!context_.upstreams.Usable(*entry) ||
         !entry->HasModel(request_.model, request_.adapter) ||
+        entry->ModelMissing(request_.model, request_.adapter, now) ||
         std::find(tried_.begin(), tried_.end(), id) != tried_.end()) {
       continue;
     }
@@ -574,6 +575,7 @@
               catalog_->version);
   upstream->requests += 1;
   upstream->tokens += tokens;
+  upstream->RecordSent(request_.model, request_.adapter, now);
   AttemptFields fields;
   fields.upstream = upstream->record.id;
   fields.account = account_;
@@ -730,6 +732,9 @@
     -> void {
   auto& attempt = *attempt_;
   attempt.fields = context_.dialect.caller_fields(head);
+  // It is complete with its head. A length that it states all the same would
+  // make the caller wait for a body, or take the next response for it.
+  if (eventhttp::IsBodiless(head.status)) return;
   attempt.length = ContentLength(head.fields);
   attempt.ends_at_close =
       !attempt.length &&
@@ -766,7 +771,7 @@
       RecordAnswerPart(now);
       if (!attempt.first_event_seen) {
         attempt.first_event_seen = true;
-        attempt.upstream->RecordSuccess(now);
+        RecordSuccess(now);
         EndPrefill();
       }
     }
@@ -813,15 +818,8 @@
   if (attempt_->discard) {
     const auto not_run = attempt_->answer.not_run;
     const auto* cause = not_run ? "upstream_full" : "upstream_error";
-    const auto model_missing = attempt_->answer.model_missing;
-    // An upstream without models that misses one is another one.
-    const bool replaced = model_missing && !pool_->engine;
-    if (attempt_->answer.wrong_upstream || replaced) {
-      cause = "wrong_upstream";
-      attempt_->upstream->MarkReplaced();
-    } else if (model_missing) {
-      cause = "model_missing";
-      attempt_->upstream->RemoveModel(request_.model, request_.adapter);
+    if (attempt_->answer.wrong_upstream || attempt_->answer.model_missing) {
+      cause = RecordMisdirected(now);
     }
     const bool may_repeat = not_run || MayRepeat(now);
     CloseAttempt();
@@ -833,7 +831,7 @@
     if (ran_ > 0) return Refuse(502, cause, std::nullopt);
     return Refuse(503, cause, ReturnDelay());
   }
-  if (!Stream() || !answering_) attempt_->upstream->RecordSuccess(now);
+  if (!Stream() || !answering_) RecordSuccess(now);
   if (answering_) {
     if (StreamEndsEarly()) return OnBroken(ExchangeEnd::kTruncated);
     // A crash may look like the end of an answer that the connection ends.
@@ -852,6 +850,48 @@
   PassWholeAnswer();
 }
 
+auto RequestExchange::RecordSuccess(Timestamp now) -> void {
+  auto& upstream = *attempt_->upstream;
+  upstream.RecordSuccess(now);
+  // Another server that has the address may give an error of its own.
+  if (attempt_->status / 100 != 2) return;
+  upstream.RecordServed(request_.model, request_.adapter);
+  context_.upstreams.Backpressure().RecordServed(
+      upstream.record.id, upstream.record.started_ms, now);
+}
+
+auto RequestExchange::RecordMisdirected(Timestamp now) -> const char* {
+  auto& upstream = *attempt_->upstream;
+  const auto& answer = attempt_->answer;
+  // An upstream without models that misses one may be another one.
+  const bool lacks_model =
+      !answer.wrong_upstream && pool_->engine && !request_.model.Empty();
+  const auto ends_at =
+      lacks_model
+          ? upstream.RecordModelMissing(request_.model, request_.adapter,
+                                        attempt_->sent_at, now)
+          : upstream.RecordMisdirected(answer.wrong_upstream, attempt_->sent_at,
+                                       now);
+  if (!lacks_model) {
+    context_.upstreams.Backpressure().RecordMisdirected(
+        upstream.record.id, upstream.record.started_ms, now);
+  }
+  const auto* cause = lacks_model ? "model_missing" : "wrong_upstream";
+  if (!ends_at) return cause;
+  const auto* reason = lacks_model             ? "model_missing"
+                       : answer.wrong_upstream ? "other_instance_named"
+                                               : "misdirected";
+  context_.metrics.Count(GatewayCounter::kAvoidances, reason);
+  context_.log.Write(EventRank::kState, "upstream_avoided")
+      .Add("upstream", upstream.record.id.Value())
+      .Add("request", request_.id.Value())
+      .Add("reason", reason)
+      .Add("model", lacks_model ? request_.model.Value() : "")
+      .Add("address_taken", upstream.AddressTaken(now) ? 1 : 0)
+      .AddMs("ends_in_ms", *ends_at - now);
+  return cause;
+}
+
 auto RequestExchange::ObserveServiceTime(Timestamp now) -> void {
   // The rest of a resumed stream says nothing about whole ones.
   if (attempt_->status / 100 != 2 || ran_ > 1) return;
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -145,6 +145,11 @@
   auto AcceptAnswer(const eventhttp::ResponseHead& head) -> void;
   // Begins to pass the attempt's answer on before it is complete.
   auto BeginAnswer(std::optional<std::uint64_t> length) -> void;
+  // Learns that the attempt's upstream served the request.
+  auto RecordSuccess(Timestamp now) -> void;
+  // Learns from an answer that said that the request was misdirected. Returns
+  // the cause for the log.
+  auto RecordMisdirected(Timestamp now) -> const char*;
   // Reads the attempt's answer without passing it on.
   auto Discard() -> void;
   // Ends an attempt whose discarded answer does not end.
--- a/modules/eventhttp/client/client_connection.cc
+++ b/modules/eventhttp/client/client_connection.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "eventhttp/message/socket_options.h"
+#include "eventhttp/message/status_text.h"
 
 namespace dotterellug::eventhttp {
 namespace {
@@ -26,6 +27,11 @@
 // Chunk headers and trailers beyond this size are an error of the server. The
 // parser has no limit for them and asks for more input until they end.
 constexpr std::size_t kMaxUnparsedBytes = 65'536;
+// Interim responses of one exchange beyond these bounds are an error of the
+// server. No known server sends more than a few.
+constexpr int kMaxInterimHeads = 16;
+constexpr std::size_t kMaxInterimBytes = 65'536;
+constexpr int kSwitchingProtocols = 101;
 // A connection on which more requests were left unsettled is not used again.
 constexpr std::size_t kMaxUnsettled = 64;
 
@@ -86,6 +92,8 @@
   reused_ = connected_;
   request_sent_ = false;
   paused_ = false;
+  interim_heads_ = 0;
+  interim_bytes_ = 0;
   StartParser();
   if (connected_) {
     Send();
@@ -102,6 +110,7 @@
   if (!expect_body_) parser_->skip(true);
   head_done_ = false;
   head_bytes_ = 0;
+  body_may_follow_ = false;
   skipping_ = false;
 }
 
@@ -179,8 +188,8 @@
     boost::beast::error_code error;
     const auto used = parser_->Feed(input_, error);
     input_.erase(0, used);
+    if (!head_done_) head_bytes_ += used;
     if (!parser_->HeadAccepted()) {
-      head_bytes_ += used;
       if (head_bytes_ + input_.size() > kHeaderLimit) {
         return Finish(ExchangeEnd::kProtocolError);
       }
@@ -218,9 +227,17 @@
   }
   if (parser_->Head().status / 100 == 1) {
     // An interim response; the final one follows.
+    if (!AcceptsInterim(parser_->Head().status)) {
+      Finish(ExchangeEnd::kProtocolError);
+      return false;
+    }
     StartParser();
     return true;
   }
+  const auto* length = FindField(fields, "Content-Length");
+  body_may_follow_ = IsBodiless(parser_->Head().status) &&
+                     (FindField(fields, "Transfer-Encoding") != nullptr ||
+                      (length != nullptr && *length != "0"));
   head_done_ = true;
   const auto verdict = handlers_->on_head(parser_->Head());
   if (!active_ || closed_) return false;
@@ -232,8 +249,15 @@
   return true;
 }
 
+auto ClientConnection::AcceptsInterim(int status) -> bool {
+  ++interim_heads_;
+  interim_bytes_ += head_bytes_;
+  return status != kSwitchingProtocols && interim_heads_ <= kMaxInterimHeads &&
+         interim_bytes_ <= kMaxInterimBytes;
+}
+
 auto ClientConnection::Complete() -> void {
-  const bool keep = parser_->keep_alive();
+  const bool keep = parser_->keep_alive() && !body_may_follow_;
   if (skipping_) {
     if (!keep) return Finish(ExchangeEnd::kNoResponse);
     StartParser();
--- a/modules/eventhttp/client/client_connection.h
+++ b/modules/eventhttp/client/client_connection.h
@@ -87,6 +87,9 @@
   auto ReadInput() -> void;
   auto ParseInput() -> void;
   auto HeadRead() -> bool;
+  // Whether another interim response is within the bounds. Status 101 never is:
+  // no request here asks for an upgrade.
+  auto AcceptsInterim(int status) -> bool;
   auto HandleEnd(bool clean) -> void;
   auto Complete() -> void;
   auto Finish(ExchangeEnd end) -> void;
@@ -117,6 +120,12 @@
   bool head_done_ = false;
   // Bytes of the response head that the parser has used.
   std::size_t head_bytes_ = 0;
+  // Interim responses of the exchange, and the bytes of their heads.
+  int interim_heads_ = 0;
+  std::size_t interim_bytes_ = 0;
+  // The response can have no body but announces one, which may follow and would
+  // be taken for the next response.
+  bool body_may_follow_ = false;
   bool skipping_ = false;
   bool reusable_ = false;
   bool reused_ = false;
--- a/modules/eventhttp/eventhttp.h
+++ b/modules/eventhttp/eventhttp.h
@@ -12,5 +12,6 @@
 #include "eventhttp/message/head.h"
 #include "eventhttp/message/header_fields.h"
 #include "eventhttp/message/message_parser.h"
+#include "eventhttp/message/status_text.h"
 #include "eventhttp/server/http_server.h"
 #include "eventhttp/server/server_session.h"
--- a/modules/eventhttp/message/message_parser.h
+++ b/modules/eventhttp/message/message_parser.h
@@ -57,6 +57,8 @@
 
   // HTTP/1.0 has no transfer codings.
   static constexpr int kFirstVersionWithCodings = 11;
+  static constexpr int kMinStatus = 100;
+  static constexpr int kMaxStatus = 599;
 
   static auto Text(View view) -> std::string {
     return {view.data(), view.size()};
@@ -70,9 +72,14 @@
       head_.target = Text(target);
     }
   }
-  auto on_response_impl(int status, View reason, int version, Error&)
+  auto on_response_impl(int status, View reason, int version, Error& error)
       -> void override {
     version_ = version;
+    // RFC 9110, 15: values outside this range are invalid.
+    if (status < kMinStatus || status > kMaxStatus) {
+      error = boost::beast::http::error::bad_status;
+      return;
+    }
     if constexpr (!kIsRequest) {
       head_.status = status;
       head_.reason = Text(reason);
--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -159,10 +159,13 @@
                             std::string_view body) -> void {
   if (state_ != State::kAnswering) return;
   AppendHead(status, fields);
-  output_ += "Content-Length: ";
-  output_ += std::to_string(body.size());
-  output_ += "\r\n\r\n";
-  if (!head_request_) output_ += body;
+  if (!IsBodiless(status)) {
+    output_ += "Content-Length: ";
+    output_ += std::to_string(body.size());
+    output_ += "\r\n";
+  }
+  output_ += "\r\n";
+  if (!head_request_ && !IsBodiless(status)) output_ += body;
   AnswerEnded();
 }
 
--- a/modules/eventhttp/tests/client_tests.cc
+++ b/modules/eventhttp/tests/client_tests.cc
@@ -368,5 +368,102 @@
   EXPECT_EQ(peer_.Resets(), 0);
 }
 
+// A status line, or the interim responses before it, that make a response
+// invalid.
+struct InvalidBeginning {
+  const char* name;
+  std::string bytes;
+};
+
+class InvalidBeginningTest
+    : public ClientTest,
+      public ::testing::WithParamInterface<InvalidBeginning> {};
+
+// Guards against a status such as 000 or 999 that is passed on as a response,
+// and against interim responses that keep an exchange open without end.
+TEST_P(InvalidBeginningTest, IsNoResponse) {
+  peer_.answers = {GetParam().bytes + "\r\nContent-Length: 0\r\n\r\n"};
+  auto connection = std::make_shared<ClientConnection>(loop_, peer_.Address());
+  const auto seen = Exchange(connection);
+  EXPECT_EQ(seen.end, ExchangeEnd::kProtocolError);
+  EXPECT_EQ(seen.status, 0);
+  EXPECT_FALSE(connection->Reusable());
+}
+
+auto Repeat(const std::string& text, int times) -> std::string {
+  std::string all;
+  for (int i = 0; i < times; ++i) all += text;
+  return all;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bytes, InvalidBeginningTest,
+    ::testing::Values(
+        InvalidBeginning{"Status000", "HTTP/1.1 000 OK"},
+        InvalidBeginning{"Status001", "HTTP/1.1 001 OK"},
+        InvalidBeginning{"Status010", "HTTP/1.1 010 OK"},
+        InvalidBeginning{"Status099", "HTTP/1.1 099 OK"},
+        InvalidBeginning{"Status600", "HTTP/1.1 600 OK"},
+        InvalidBeginning{"Status999", "HTTP/1.1 999 OK"},
+        InvalidBeginning{"TwoDigits", "HTTP/1.1 20 OK"},
+        InvalidBeginning{"FourDigits", "HTTP/1.1 2000 OK"},
+        InvalidBeginning{"Sign", "HTTP/1.1 +20 OK"},
+        InvalidBeginning{"Version0_9", "HTTP/0.9 200 OK"},
+        InvalidBeginning{"Version1_2", "HTTP/1.2 200 OK"},
+        InvalidBeginning{"Version2_0", "HTTP/2.0 200 OK"},
+        InvalidBeginning{"LowerCaseVersion", "http/1.1 200 OK"},
+        InvalidBeginning{"ZeroByteInReason",
+                         std::string("HTTP/1.1 200 O\0K", 17)},
+        InvalidBeginning{"EscapeInReason", "HTTP/1.1 200 O\x1bK"},
+        InvalidBeginning{"DeleteInReason", "HTTP/1.1 200 O\x7fK"},
+        InvalidBeginning{"LineFeedInReason", "HTTP/1.1 200 O\nK"},
+        InvalidBeginning{"UpgradeNotAskedFor",
+                         "HTTP/1.1 101 Switching Protocols\r\n"
+                         "Upgrade: x\r\n\r\nHTTP/1.1 200 OK"},
+        InvalidBeginning{"ManyInterim",
+                         Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100) +
+                             "HTTP/1.1 200 OK"},
+        InvalidBeginning{"LargeInterim",
+                         Repeat("HTTP/1.1 103 Early Hints\r\nLink: " +
+                                    std::string(30'000, 'x') + "\r\n\r\n",
+                                3) +
+                             "HTTP/1.1 200 OK"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(ClientTest, InterimResponsesPrecedeTheFinalOne) {
+  peer_.answers = {Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 4) +
+                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+  const auto seen =
+      Exchange(std::make_shared<ClientConnection>(loop_, peer_.Address()));
+  EXPECT_EQ(seen.end, ExchangeEnd::kComplete);
+  EXPECT_EQ(seen.status, 200);
+  EXPECT_EQ(seen.body, "ok");
+}
+
+class BodilessStatusTest : public ClientTest,
+                           public ::testing::WithParamInterface<const char*> {};
+
+// Guards against the body that follows a response which can have none and is
+// taken for the response to the next request on the connection.
+TEST_P(BodilessStatusTest, AnnouncedBodyIsNeverTheNextResponse) {
+  for (const auto* status : {"204 No Content", "304 Not Modified"}) {
+    ScriptedPeer peer(loop_);
+    peer.answers = {"HTTP/1.1 " + std::string(status) + "\r\n" + GetParam() +
+                    "\r\n"};
+    auto connection = std::make_shared<ClientConnection>(loop_, peer.Address());
+    const auto seen = Exchange(connection);
+    EXPECT_EQ(seen.end, ExchangeEnd::kComplete) << status;
+    EXPECT_EQ(seen.body, "");
+    EXPECT_FALSE(connection->Reusable()) << status;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Framing, BodilessStatusTest,
+                         ::testing::Values("Content-Length: 40\r\n",
+                                           "Transfer-Encoding: chunked\r\n"),
+                         [](const auto& info) {
+                           return info.index == 0 ? "Length" : "Chunks";
+                         });
+
 }  // namespace
 }  // namespace dotterellug::eventhttp
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -197,6 +197,7 @@
     -> Json {
   auto list = Json::array();
   for (const auto& fact : shared) {
+    if (!fact.rate_age && !fact.leaving_age) continue;
     list.push_back(fact.upstream.Value());
     list.push_back(fact.started_ms);
     list.push_back(fact.requests_per_second.value_or(kNoRate));
@@ -222,6 +223,35 @@
   return shared;
 }
 
+// Encodes four elements for each upstream whose responses said that requests
+// were misdirected. They have a list of their own, which daemons without it
+// ignore.
+auto EncodeMisdirected(const std::vector<serving::SharedBackpressure>& shared)
+    -> Json {
+  auto list = Json::array();
+  for (const auto& fact : shared) {
+    if (!fact.misdirected_age) continue;
+    list.push_back(fact.upstream.Value());
+    list.push_back(fact.started_ms);
+    list.push_back(EncodeAge(fact.misdirected_age));
+    list.push_back(EncodeAge(fact.served_age));
+  }
+  return list;
+}
+
+auto DecodeMisdirected(const Json& list,
+                       std::vector<serving::SharedBackpressure>& shared)
+    -> void {
+  for (std::size_t i = 0; i + 3 < list.size(); i += 4) {
+    serving::SharedBackpressure fact;
+    fact.upstream = UpstreamId(list[i].get<std::string>());
+    fact.started_ms = list[i + 1].get<std::int64_t>();
+    fact.misdirected_age = DecodeAge(list[i + 2]);
+    fact.served_age = DecodeAge(list[i + 3]);
+    shared.push_back(std::move(fact));
+  }
+}
+
 // Encodes four elements for each request that draws on an upstream's rate.
 auto EncodeUpstreamRequests(const std::vector<TokenRequest>& requests) -> Json {
   auto list = Json::array();
@@ -311,7 +341,8 @@
   AppendOptional(message, {EncodeEvidence(report.prompt_evidence),
                            EncodeBackpressure(report.backpressure),
                            EncodeUpstreamRequests(report.token_requests),
-                           report.store_positions});
+                           report.store_positions,
+                           EncodeMisdirected(report.backpressure)});
   return message;
 }
 
@@ -349,7 +380,8 @@
        EncodeAge(summary.lease_holder_age), std::move(queued)});
   AppendOptional(message, {EncodeEvidence(summary.prompt_evidence),
                            EncodeBackpressure(summary.backpressure),
-                           EncodeUpstreamGrants(summary.grants)});
+                           EncodeUpstreamGrants(summary.grants),
+                           EncodeMisdirected(summary.backpressure)});
   return message;
 }
 
@@ -401,6 +433,9 @@
     report.store_positions =
         list[kReportEvidence + 3].get<std::vector<std::int64_t>>();
   }
+  if (list.size() > kReportEvidence + 4) {
+    DecodeMisdirected(list[kReportEvidence + 4], report.backpressure);
+  }
   return report;
 }
 
@@ -449,6 +484,9 @@
     summary.backpressure = DecodeBackpressure(list[kSummaryEvidence + 1]);
     DecodeUpstreamGrants(list[kSummaryEvidence + 2], summary.grants);
   }
+  if (list.size() > kSummaryEvidence + 3) {
+    DecodeMisdirected(list[kSummaryEvidence + 3], summary.backpressure);
+  }
   return summary;
 }
 
--- a/modules/fleet/tests/fleet_tests.cc
+++ b/modules/fleet/tests/fleet_tests.cc
@@ -130,6 +130,35 @@
   EXPECT_TRUE(copy[0].crashes[1].refuted);
 }
 
+// Guards against a daemon that cannot tell others that an upstream which they
+// avoid serves it.
+TEST(FleetCodecTest, RoundTripsMisdirectedResponses) {
+  serving::SharedBackpressure avoided;
+  avoided.upstream = UpstreamId("u1");
+  avoided.started_ms = 1785018101204;
+  avoided.misdirected_age = Duration(250'000);
+  auto served = avoided;
+  served.served_age = Duration(40);
+  auto report = MakeReport(1, 7, 100);
+  report.backpressure = {avoided};
+  FleetSummary summary;
+  summary.backpressure = {served};
+  const auto decoded_report = DecodeFleetMessage(EncodeFleetMessage(report));
+  const auto decoded_summary = DecodeFleetMessage(EncodeFleetMessage(summary));
+  ASSERT_TRUE(decoded_report);
+  ASSERT_TRUE(decoded_summary);
+  const auto& read = std::get<FleetReport>(*decoded_report).backpressure;
+  ASSERT_EQ(read.size(), 1U);
+  EXPECT_EQ(read[0].upstream, avoided.upstream);
+  EXPECT_EQ(read[0].started_ms, avoided.started_ms);
+  EXPECT_EQ(read[0].misdirected_age, Duration(250'000));
+  EXPECT_FALSE(read[0].served_age);
+  const auto& answer = std::get<FleetSummary>(*decoded_summary).backpressure;
+  ASSERT_EQ(answer.size(), 1U);
+  EXPECT_EQ(answer[0].misdirected_age, Duration(250'000));
+  EXPECT_EQ(answer[0].served_age, Duration(40));
+}
+
 TEST(FleetCodecTest, RoundTripsBackpressureAndTokensOfUpstreams) {
   serving::SharedBackpressure limited;
   limited.upstream = UpstreamId("u1");
--- a/modules/serving/backpressure/backpressure_table.cc
+++ b/modules/serving/backpressure/backpressure_table.cc
@@ -18,8 +18,36 @@
 constexpr auto kSameObservation = std::chrono::milliseconds(500);
 // Entries in one message; more would not fit into a datagram.
 constexpr std::size_t kMaxShared = 500;
-// Longest pause that is honoured; prevents an overflow of the time.
-constexpr auto kMaxPause = std::chrono::hours(24);
+// Longest effect of one answer that asks for a pause or states a rate. An
+// upstream that still wants it says so again in its answer to the next request.
+constexpr auto kMaxPause = std::chrono::minutes(1);
+constexpr auto kMinRateTtl = std::chrono::minutes(1);
+// A rate below one request in the minimum time ends after this many of the
+// intervals that it allows, so that an answer can confirm it.
+constexpr double kRateTtlIntervals = 3;
+// Responses about misdirected requests, and the successes that refute them, are
+// shared for this long. Longer than the longest suspicion, 4 s.
+constexpr auto kMisdirectedTtl = std::chrono::seconds(10);
+
+// A rate of 0 lets no request through whose answer could confirm it.
+auto RateTtl(double rate) -> Duration {
+  if (rate <= 0) return kMinRateTtl;
+  const auto intervals =
+      std::min(kRateTtlIntervals / rate, ToSeconds(kFactTtl));
+  return std::max<Duration>(kMinRateTtl, FromSeconds(intervals));
+}
+
+auto Recent(Timestamp at, Timestamp now) -> bool {
+  return at != Timestamp{} && now - at < kMisdirectedTtl;
+}
+
+// Takes over a time observed by another daemon if it is clearly later.
+auto MergeTime(Timestamp& known, const std::optional<Duration>& age,
+               Timestamp now) -> void {
+  if (!age || *age >= kMisdirectedTtl) return;
+  const Timestamp at = now - *age;
+  if (known == Timestamp{} || at - known > kSameObservation) known = at;
+}
 
 }  // namespace
 
@@ -68,8 +96,38 @@
   if (changed) NoteChange(upstream, *entry, BackpressureSource::kAnswer, now);
 }
 
+auto BackpressureTable::RecordMisdirected(const UpstreamId& upstream,
+                                          std::int64_t started_ms,
+                                          Timestamp now) -> void {
+  auto* entry = EntryFor(upstream, started_ms);
+  if (entry != nullptr) entry->misdirected_at = now;
+}
+
+auto BackpressureTable::RecordServed(const UpstreamId& upstream,
+                                     std::int64_t started_ms, Timestamp now)
+    -> void {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end()) return;
+  auto& entry = found->second;
+  if (entry.started_ms > started_ms && started_ms != 0) return;
+  if (Recent(entry.misdirected_at, now)) entry.served_at = now;
+}
+
+auto BackpressureTable::ServedSince(const UpstreamId& upstream,
+                                    Timestamp time) const -> bool {
+  const auto found = entries_.find(upstream);
+  return found != entries_.end() && found->second.served_at > time;
+}
+
+auto BackpressureTable::Listed(const UpstreamId& upstream,
+                               std::int64_t started_ms) const -> bool {
+  const auto found = listed_.find(upstream);
+  return found != listed_.end() && found->second == started_ms;
+}
+
 auto BackpressureTable::OnProcess(const UpstreamId& upstream,
                                   std::int64_t started_ms) -> void {
+  listed_[upstream] = started_ms;
   const auto found = entries_.find(upstream);
   if (found == entries_.end() || started_ms == 0) return;
   if (found->second.started_ms == started_ms) return;
@@ -103,7 +161,8 @@
     const bool rate_known =
         entry.requests_per_second ||
         (entry.rate_at != Timestamp{} && now - entry.rate_at < kEndedRateTtl);
-    if (!rate_known && !entry.leaving_since) continue;
+    const bool misdirected = Recent(entry.misdirected_at, now);
+    if (!rate_known && !entry.leaving_since && !misdirected) continue;
     if (shared.size() == kMaxShared) break;
     SharedBackpressure fact;
     fact.upstream = id;
@@ -113,6 +172,10 @@
       fact.rate_age = now - entry.rate_at;
     }
     if (entry.leaving_since) fact.leaving_age = now - *entry.leaving_since;
+    if (misdirected) fact.misdirected_age = now - entry.misdirected_at;
+    if (misdirected && Recent(entry.served_at, now)) {
+      fact.served_age = now - entry.served_at;
+    }
     shared.push_back(std::move(fact));
   }
   return shared;
@@ -125,18 +188,31 @@
       return age && *age < kFactTtl;
     };
     const bool rate_ended = !fact.requests_per_second;
-    if (rate_ended && !fact.leaving_age && !RateLimit(fact.upstream)) continue;
+    if (rate_ended && !fact.leaving_age && !fact.misdirected_age &&
+        !RateLimit(fact.upstream)) {
+      continue;
+    }
     auto* entry = EntryFor(fact.upstream, fact.started_ms);
     if (entry == nullptr) continue;
+    MergeTime(entry->misdirected_at, fact.misdirected_age, now);
+    MergeTime(entry->served_at, fact.served_age, now);
     bool changed = false;
-    if (recent(fact.rate_age)) {
+    // A rate that has ended here is not taken over again from a daemon where it
+    // is about to end.
+    const bool in_force =
+        !fact.requests_per_second ||
+        (fact.rate_age && *fact.rate_age < RateTtl(*fact.requests_per_second));
+    if (recent(fact.rate_age) && in_force) {
       const Timestamp at = now - *fact.rate_age;
       const bool same = entry->requests_per_second == fact.requests_per_second;
       if (!same || at - entry->rate_at > kSameObservation) {
         changed = UpdateRate(*entry, fact.requests_per_second, at);
       }
     }
-    if (recent(fact.leaving_age) && !entry->leaving_since) {
+    const bool leaves =
+        recent(fact.leaving_age) ||
+        (fact.leaving_age && Listed(fact.upstream, fact.started_ms));
+    if (leaves && !entry->leaving_since) {
       entry->leaving_since = now - *fact.leaving_age;
       changed = true;
     }
@@ -167,13 +243,38 @@
   return std::exchange(changes_, {});
 }
 
+auto BackpressureTable::RateEndsIn(const UpstreamId& upstream,
+                                   Timestamp now) const -> Duration {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end() || !found->second.requests_per_second) {
+    return Duration::zero();
+  }
+  const auto& entry = found->second;
+  const auto ttl = RateTtl(*entry.requests_per_second);
+  return std::max<Duration>(entry.rate_at + ttl - now, Duration::zero());
+}
+
+// The time of the observation stays, so that another daemon's later observation
+// of the same rate is still taken over.
+auto BackpressureTable::ExpireRate(Entry& entry, Timestamp now) -> bool {
+  if (!entry.requests_per_second) return false;
+  if (now - entry.rate_at <= RateTtl(*entry.requests_per_second)) return false;
+  entry.requests_per_second.reset();
+  return true;
+}
+
 auto BackpressureTable::Expire(Timestamp now) -> void {
   for (auto item = entries_.begin(); item != entries_.end();) {
-    const auto& entry = item->second;
+    auto& entry = item->second;
+    if (ExpireRate(entry, now)) {
+      NoteChange(item->first, entry, BackpressureSource::kExpiry, now);
+    }
     const auto observed_at =
-        std::max({entry.rate_at, entry.paused_until,
+        std::max({entry.rate_at, entry.paused_until, entry.misdirected_at,
                   entry.leaving_since.value_or(Timestamp{})});
-    if (now - observed_at <= kFactTtl) {
+    const bool leaves =
+        entry.leaving_since && Listed(item->first, entry.started_ms);
+    if (leaves || now - observed_at <= kFactTtl) {
       ++item;
       continue;
     }
--- a/modules/serving/backpressure/backpressure_table.h
+++ b/modules/serving/backpressure/backpressure_table.h
@@ -36,6 +36,12 @@
   std::optional<Duration> rate_age;
   // Time since the upstream was first known to leave; nothing if it does not.
   std::optional<Duration> leaving_age;
+  // Time since a daemon got a response that said that its request was
+  // misdirected, and since the upstream last served a request of any daemon
+  // after one of them got such a response; nothing if that did not happen
+  // lately.
+  std::optional<Duration> misdirected_age;
+  std::optional<Duration> served_age;
 };
 
 // Why a daemon's knowledge of an upstream has changed.
@@ -72,8 +78,21 @@
   auto RecordAnswer(const UpstreamId& upstream, std::int64_t started_ms,
                     const StatedBackpressure& stated, Timestamp sent_at,
                     Timestamp now) -> void;
-  // Forgets what earlier processes of the upstream said.
+  // Records that a response said that a request was misdirected, so that
+  // daemons which the upstream serves tell so.
+  auto RecordMisdirected(const UpstreamId& upstream, std::int64_t started_ms,
+                         Timestamp now) -> void;
+  // Records that the upstream served a request of this daemon. Has an effect
+  // only if some daemon lately got a response as in RecordMisdirected.
+  auto RecordServed(const UpstreamId& upstream, std::int64_t started_ms,
+                    Timestamp now) -> void;
+  // Whether the upstream is known to have served a daemon after `time`.
+  auto ServedSince(const UpstreamId& upstream, Timestamp time) const -> bool;
+  // The upstream is listed with this process. Forgets what earlier processes
+  // said.
   auto OnProcess(const UpstreamId& upstream, std::int64_t started_ms) -> void;
+  // The upstream is no longer listed.
+  auto OnGone(const UpstreamId& upstream) -> void { listed_.erase(upstream); }
 
   // Requests per second that the upstream takes from all daemons together;
   // nothing if it states no rate.
@@ -91,7 +110,11 @@
 
   // Returns the changes since the last call.
   auto TakeChanges() -> std::vector<BackpressureChange>;
-  // Forgets what was not observed for a long time.
+  // Time until the upstream's rate ends unless an answer states it again; 0 if
+  // it states none.
+  auto RateEndsIn(const UpstreamId& upstream, Timestamp now) const -> Duration;
+  // Forgets what was not observed for a long time. That an upstream leaves
+  // holds as long as it is listed with the same process.
   auto Expire(Timestamp now) -> void;
   // Number of upstreams that state a rate, leave, or are left alone.
   auto RestrictedCount(Timestamp now) const -> std::size_t;
@@ -104,8 +127,16 @@
     Timestamp rate_at{};
     std::optional<Timestamp> leaving_since;
     Timestamp paused_until{};
+    // Zero if not observed.
+    Timestamp misdirected_at{};
+    Timestamp served_at{};
   };
 
+  // Whether the upstream is listed with the process of the entry.
+  auto Listed(const UpstreamId& upstream, std::int64_t started_ms) const
+      -> bool;
+  // Ends a rate that no answer has stated again. Returns whether it did.
+  static auto ExpireRate(Entry& entry, Timestamp now) -> bool;
   // Returns the entry for the process, emptied if it was about an earlier one;
   // null if the entry is about a later one.
   auto EntryFor(const UpstreamId& upstream, std::int64_t started_ms) -> Entry*;
@@ -119,6 +150,8 @@
       -> void;
 
   std::unordered_map<UpstreamId, Entry> entries_;
+  // Start time of the process that each upstream is listed with.
+  std::unordered_map<UpstreamId, std::int64_t> listed_;
   std::vector<BackpressureChange> changes_;
 };
 
--- a/modules/serving/dispatch/upstream_selector.cc
+++ b/modules/serving/dispatch/upstream_selector.cc
@@ -60,20 +60,30 @@
   struct CostedUpstream {
     UpstreamTable::Entry entry;
     double cost = 0;
+    bool misdirected = false;
   };
   std::vector<CostedUpstream> candidates;
   auto reason = SelectionFailure::kNoUpstream;
   int paused = 0;
   int not_paused = 0;
+  bool trusted = false;
   for (const auto& entry : table.InPool(request.pool)) {
     if (!table.Usable(*entry)) continue;
+    // A response that this daemon got is disregarded if the upstream has served
+    // another daemon since then.
+    const bool misdirected = entry->Misdirected(now) &&
+                             !table.Backpressure().ServedSince(
+                                 entry->record.id, entry->MisdirectedAt());
+    if (misdirected && entry->AddressTaken(now)) continue;
     if (reason == SelectionFailure::kNoUpstream) {
       reason = SelectionFailure::kNoModel;
     }
     if (!entry->HasModel(request.model, request.adapter)) continue;
+    if (entry->ModelMissing(request.model, request.adapter, now)) continue;
     if (reason == SelectionFailure::kNoModel) {
       reason = SelectionFailure::kNoneEligible;
     }
+    trusted = trusted || (!misdirected && !entry->Suspected(now));
     const auto& excluded = request.excluded;
     if (std::find(excluded.begin(), excluded.end(), entry->record.id) !=
         excluded.end()) {
@@ -91,7 +101,16 @@
     // Suspected upstreams are used only if there is no other candidate: 1000
     // exceeds the cost of any other.
     if (entry->Suspected(now)) cost += 1000;
-    candidates.push_back({entry, cost});
+    candidates.push_back({entry, cost, misdirected});
+  }
+  // An upstream whose responses said that requests were misdirected is used
+  // only if its pool has no other, not if the others are full.
+  if (trusted) {
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                    [](const CostedUpstream& candidate) {
+                                      return candidate.misdirected;
+                                    }),
+                     candidates.end());
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const auto& a, const auto& b) { return a.cost < b.cost; });
--- a/modules/serving/fleet/upstream_table.cc
+++ b/modules/serving/fleet/upstream_table.cc
@@ -17,6 +17,9 @@
     entry = std::make_shared<UpstreamView>(record);
     by_pool_[record.pool].push_back(entry);
   } else {
+    if (entry->record.command_sequence != record.command_sequence) {
+      entry->ClearMissingModels();
+    }
     entry->record = record;
   }
   entry->cold_until = now + record.remaining_cold_duration;
@@ -25,6 +28,7 @@
 auto UpstreamTable::Remove(const UpstreamId& id) -> void {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return;
+  backpressure_.OnGone(id);
   RemoveFromPool(found->second);
   upstreams_.erase(found);
 }
--- a/modules/serving/fleet/upstream_view.cc
+++ b/modules/serving/fleet/upstream_view.cc
@@ -19,6 +19,9 @@
 // Covers four report intervals; reports of other daemons renew it while they
 // cannot reach the upstream.
 constexpr auto kReportedSuspicionDuration = std::chrono::milliseconds(600);
+// Responses that name another instance after which the address counts as taken.
+// A single one may be a delayed duplicate.
+constexpr int kConfirmedTaken = 2;
 
 }  // namespace
 
@@ -65,18 +68,45 @@
          now - unreachable_at_ < kOwnObservationTtl;
 }
 
-auto UpstreamView::RemoveModel(const ModelId& model, const AdapterId& adapter)
+auto UpstreamView::RecordMisdirected(bool names_another, Timestamp sent_at,
+                                     Timestamp now)
+    -> std::optional<Timestamp> {
+  if (!misdirected_.Record(sent_at, now)) return std::nullopt;
+  named_another_ = names_another ? named_another_ + 1 : 0;
+  return misdirected_.Until();
+}
+
+auto UpstreamView::AddressTaken(Timestamp now) const -> bool {
+  return named_another_ >= kConfirmedTaken && misdirected_.Active(now);
+}
+
+auto UpstreamView::RecordModelMissing(const ModelId& model,
+                                      const AdapterId& adapter,
+                                      Timestamp sent_at, Timestamp now)
+    -> std::optional<Timestamp> {
+  auto& suspicion = missing_models_[{model, adapter}];
+  if (!suspicion.Record(sent_at, now)) return std::nullopt;
+  return suspicion.Until();
+}
+
+auto UpstreamView::ModelMissing(const ModelId& model, const AdapterId& adapter,
+                                Timestamp now) const -> bool {
+  const auto found = missing_models_.find({model, adapter});
+  return found != missing_models_.end() && found->second.Active(now);
+}
+
+auto UpstreamView::RecordSent(const ModelId& model, const AdapterId& adapter,
+                              Timestamp now) -> void {
+  misdirected_.RecordSent(now);
+  const auto found = missing_models_.find({model, adapter});
+  if (found != missing_models_.end()) found->second.RecordSent(now);
+}
+
+auto UpstreamView::RecordServed(const ModelId& model, const AdapterId& adapter)
     -> void {
-  auto& models = record.models;
-  for (auto loaded = models.begin(); loaded != models.end(); ++loaded) {
-    if (loaded->id != model) continue;
-    if (adapter.Empty()) {
-      models.erase(loaded);
-    } else {
-      loaded->adapters.erase(adapter);
-    }
-    return;
-  }
+  misdirected_.Clear();
+  named_another_ = 0;
+  missing_models_.erase({model, adapter});
 }
 
 }  // namespace dotterellug::serving
--- a/modules/serving/fleet/upstream_view.h
+++ b/modules/serving/fleet/upstream_view.h
@@ -5,9 +5,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/core.h"
+#include "serving/fleet/response_suspicion.h"
 
 namespace dotterellug::serving {
 
@@ -97,12 +99,39 @@
   // Whether it was unreachable for this daemon recently, without a success
   // since.
   auto RecentlyUnreachable(Timestamp now) const -> bool;
-  // Removes a model or adapter from the record, because the engine does not
-  // have it although its record lists it.
-  auto RemoveModel(const ModelId& model, const AdapterId& adapter) -> void;
-  // Records that another upstream uses its address now. It is treated as
-  // draining until its next record, so it receives no requests.
-  auto MarkReplaced() -> void { record.leaving = true; }
+  // Records a response that said that the request was misdirected, to an
+  // attempt that was sent at `sent_at`. `names_another` tells whether it named
+  // another instance that has the address. Returns when the avoidance of the
+  // upstream ends, or nullopt if the response adds nothing to an earlier one.
+  auto RecordMisdirected(bool names_another, Timestamp sent_at, Timestamp now)
+      -> std::optional<Timestamp>;
+  // Records a response that said that the engine lacks a model or adapter which
+  // its record lists. Returns as RecordMisdirected does.
+  auto RecordModelMissing(const ModelId& model, const AdapterId& adapter,
+                          Timestamp sent_at, Timestamp now)
+      -> std::optional<Timestamp>;
+  // Records that a request for the model is sent, which may be a trial.
+  auto RecordSent(const ModelId& model, const AdapterId& adapter, Timestamp now)
+      -> void;
+  // Records that a request for the model ran.
+  auto RecordServed(const ModelId& model, const AdapterId& adapter) -> void;
+  // Forgets which models were missing, because the engine has accepted commands
+  // since then.
+  auto ClearMissingModels() -> void { missing_models_.clear(); }
+
+  // Whether it is avoided for now because of responses that said that requests
+  // were misdirected.
+  auto Misdirected(Timestamp now) const -> bool {
+    return misdirected_.Active(now);
+  }
+  // When the last such response arrived.
+  auto MisdirectedAt() const -> Timestamp { return misdirected_.RecordedAt(); }
+  // Whether two responses without a success between them named another instance
+  // that has the address, so that it is not even the last choice for now.
+  auto AddressTaken(Timestamp now) const -> bool;
+  // Whether the model or adapter is assumed to be missing for now.
+  auto ModelMissing(const ModelId& model, const AdapterId& adapter,
+                    Timestamp now) const -> bool;
 
   // Moving average of the fraction of attempts that failed, 0 to 1.
   auto FailureRate() const -> double { return failure_rate_; }
@@ -115,6 +144,12 @@
   Timestamp succeeded_at_{};
   Timestamp unreachable_at_{};
   Timestamp suspected_until_{};
+  ResponseSuspicion misdirected_;
+  // Consecutive responses that named another instance.
+  int named_another_ = 0;
+  // Models, or adapters of models, that the engine said it lacks. Few at a
+  // time: an entry ends with a success or with the next command.
+  std::map<std::pair<ModelId, AdapterId>, ResponseSuspicion> missing_models_;
 };
 
 }  // namespace dotterellug::serving
