--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 9> kCounters{{
+const std::array<Name, 10> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -44,9 +44,12 @@
     {"dotterellug_gateway_stated_loads_total", "result",
      "Loads that upstreams stated in their responses: with a work factor, "
      "without one, or ignored because they cannot be right."},
+    {"dotterellug_gateway_upstream_avoidances_total", "reason",
+     "Decisions to avoid an upstream, or a model there, for a bounded time "
+     "because of an answer."},
 }};
 
-const std::array<Name, 14> kLevels{{
+const std::array<Name, 15> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -77,6 +80,9 @@
     {"dotterellug_gateway_slow_upstreams", "",
      "Upstreams that are expected to take more than 1.5 times as long as "
      "usual now."},
+    {"dotterellug_gateway_avoided_upstreams", "",
+     "Upstreams that are avoided for a moment because their answers said that "
+     "requests were misdirected."},
 }};
 
 const std::array<Name, 4> kLatencies{{
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -21,6 +21,7 @@
   kCopyFetches,
   kDroppedLines,
   kStatedLoads,
+  kAvoidances,
 };
 
 // What a gateway states as it is now.
@@ -39,6 +40,7 @@
   kRestrictedUpstreams,
   kKnownWorkFactors,
   kSlowUpstreams,
+  kAvoidedUpstreams,
 };
 
 // Durations of requests, as histograms.
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -199,6 +199,7 @@
     -> Json {
   auto list = Json::array();
   for (const auto& fact : shared) {
+    if (!fact.rate_age && !fact.leaving_age) continue;
     list.push_back(fact.upstream.Value());
     list.push_back(fact.started_ms);
     list.push_back(fact.requests_per_second.value_or(kNoRate));
@@ -224,6 +225,35 @@
   return shared;
 }
 
+// Encodes four elements for each upstream whose responses said that requests
+// were misdirected. They have a list of their own, which daemons without it
+// ignore.
+auto EncodeMisdirected(const std::vector<serving::SharedBackpressure>& shared)
+    -> Json {
+  auto list = Json::array();
+  for (const auto& fact : shared) {
+    if (!fact.misdirected_age) continue;
+    list.push_back(fact.upstream.Value());
+    list.push_back(fact.started_ms);
+    list.push_back(EncodeAge(fact.misdirected_age));
+    list.push_back(EncodeAge(fact.served_age));
+  }
+  return list;
+}
+
+auto DecodeMisdirected(const Json& list,
+                       std::vector<serving::SharedBackpressure>& shared)
+    -> void {
+  for (std::size_t i = 0; i + 3 < list.size(); i += 4) {
+    serving::SharedBackpressure fact;
+    fact.upstream = UpstreamId(list[i].get<std::string>());
+    fact.started_ms = list[i + 1].get<std::int64_t>();
+    fact.misdirected_age = DecodeAge(list[i + 2]);
+    fact.served_age = DecodeAge(list[i + 3]);
+    shared.push_back(std::move(fact));
+  }
+}
+
 // Encodes four elements for each request that draws on an upstream's rate.
 auto EncodeUpstreamRequests(const std::vector<TokenRequest>& requests) -> Json {
   auto list = Json::array();
@@ -360,7 +390,8 @@
                            EncodeBackpressure(report.backpressure),
                            EncodeUpstreamRequests(report.token_requests),
                            report.store_positions,
-                           EncodeWorkFactors(report.work_factors)});
+                           EncodeWorkFactors(report.work_factors),
+                           EncodeMisdirected(report.backpressure)});
   return message;
 }
 
@@ -399,7 +430,8 @@
   AppendOptional(message, {EncodeEvidence(summary.prompt_evidence),
                            EncodeBackpressure(summary.backpressure),
                            EncodeUpstreamGrants(summary.grants),
-                           EncodeWorkFactors(summary.work_factors)});
+                           EncodeWorkFactors(summary.work_factors),
+                           EncodeMisdirected(summary.backpressure)});
   return message;
 }
 
@@ -454,6 +486,9 @@
   if (list.size() > kReportEvidence + 4) {
     report.work_factors = DecodeWorkFactors(list[kReportEvidence + 4]);
   }
+  if (list.size() > kReportEvidence + 5) {
+    DecodeMisdirected(list[kReportEvidence + 5], report.backpressure);
+  }
   return report;
 }
 
@@ -505,6 +540,9 @@
   if (list.size() > kSummaryEvidence + 3) {
     summary.work_factors = DecodeWorkFactors(list[kSummaryEvidence + 3]);
   }
+  if (list.size() > kSummaryEvidence + 4) {
+    DecodeMisdirected(list[kSummaryEvidence + 4], summary.backpressure);
+  }
   return summary;
 }
 
--- a/modules/serving/dispatch/upstream_selector.cc
+++ b/modules/serving/dispatch/upstream_selector.cc
@@ -252,15 +252,24 @@
   auto reason = SelectionFailure::kNoUpstream;
   int paused = 0;
   int not_paused = 0;
+  bool trusted = false;
   const auto consider = [&](const UpstreamTable::Entry& entry) {
     if (!table.Usable(*entry)) return;
+    // A response that this daemon got is disregarded if the upstream has served
+    // another daemon since then.
+    const bool misdirected = entry->Misdirected(now) &&
+                             !table.Backpressure().ServedSince(
+                                 entry->record.id, entry->MisdirectedAt());
+    if (misdirected && entry->AddressTaken(now)) return;
     if (reason == SelectionFailure::kNoUpstream) {
       reason = SelectionFailure::kNoModel;
     }
     if (!entry->HasModel(request.model, request.adapter)) return;
+    if (entry->ModelMissing(request.model, request.adapter, now)) return;
     if (reason == SelectionFailure::kNoModel) {
       reason = SelectionFailure::kNoneEligible;
     }
+    trusted = trusted || (!misdirected && !entry->Suspected(now));
     const auto& excluded = request.excluded;
     if (std::find(excluded.begin(), excluded.end(), entry->record.id) !=
         excluded.end()) {
@@ -274,7 +283,7 @@
     ++not_paused;
     const auto slots = static_cast<double>(entry->record.slots);
     if (entry->TotalRequests() >= slots * (1 + pool.queue_fraction)) return;
-    candidates.push_back({entry, 0, std::nullopt});
+    candidates.push_back({entry, 0, std::nullopt, misdirected});
   };
   const auto& entries = table.InPool(request.pool);
   if (by_time && entries.size() > kLargePool) {
@@ -282,6 +291,15 @@
   } else {
     for (const auto& entry : entries) consider(entry);
   }
+  // An upstream whose responses said that requests were misdirected is used
+  // only if its pool has no other, not if the others are full.
+  if (trusted) {
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                    [](const CostedUpstream& candidate) {
+                                      return candidate.misdirected;
+                                    }),
+                     candidates.end());
+  }
   if (by_time) {
     SetExpectedTimes(candidates, request, pool, random, now);
   } else {
--- a/modules/serving/dispatch/upstream_selector.h
+++ b/modules/serving/dispatch/upstream_selector.h
@@ -79,6 +79,8 @@
     UpstreamTable::Entry entry;
     double cost = 0;
     std::optional<Duration> first_event;
+    // Its responses said that requests were misdirected.
+    bool misdirected = false;
   };
 
   // Sets the costs of candidates to expected times in milliseconds.
