--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "core/ids/store_position.h"
 #include "placement/lease/order_lease.h"
 #include "serving/serving.h"
 
@@ -24,8 +25,17 @@
   kMembers,
 };
 
-// Revisions of the store up to which changes have been read, by StoreList.
-using StorePositions = std::vector<std::int64_t>;
+// Positions in the store up to which changes have been read, by StoreList.
+using StorePositions = std::vector<StorePosition>;
+
+// The store was restored from a backup, or its epoch became known.
+struct StoreEpochChange {
+  // Nothing before the first response.
+  std::optional<StoreEpoch> before;
+  StoreEpoch after;
+  // The call whose response stated the epoch, such as "watch config".
+  std::string source;
+};
 
 // A daemon that registered itself in the platform's store.
 struct Member {
@@ -52,6 +62,8 @@
   std::function<void(const Result<void>&)> on_store_contact;
   // A call to the store ended; `call` is its method and result.
   std::function<void(const std::string& call)> on_store_call;
+  // Comes before what the store says in the new epoch.
+  std::function<void(const StoreEpochChange&)> on_store_epoch;
   // The store answered about upstreams, or did not.
   std::function<void(bool answered)> on_upstream_contact;
   // Something from the platform could not be used; for the log.
@@ -125,14 +137,16 @@
   std::function<void(const Member&, std::function<void(const Result<void>&)>)>
       register_member;
   std::function<void(const Member&)> remove_member;
-  // nullopt means that there is none.
+  // Revision 0 or nullopt means that there is none; a record with revision 0
+  // bears the epoch in which that was read.
   std::function<void(
       std::function<void(Result<std::optional<OrderLeaseRecord>>)>)>
       read_lease;
   // Writes if the revision is still `record.revision`; 0 creates. The reply has
-  // the new revision.
+  // the position of the write. Fails with kConflict without a call if the store
+  // is known to be in another epoch than that of the record.
   std::function<void(const OrderLeaseRecord&,
-                     std::function<void(Result<std::int64_t>)>)>
+                     std::function<void(Result<StorePosition>)>)>
       write_lease;
   std::function<void(const EngineOrder&, std::function<void(OrderOutcome)>)>
       send_order;
--- a/daemon/gateway/copy_exchange.cc
+++ b/daemon/gateway/copy_exchange.cc
@@ -14,7 +14,7 @@
 constexpr std::array<std::pair<StoreList, std::string_view>, 2> kLists{
     {{StoreList::kConfiguration, "configuration"},
      {StoreList::kZonesOut, "zones-out"}}};
-// Paths are /copies/LIST?after=POSITION.
+// Paths are /copies/LIST?after=POSITION, with a packed position.
 constexpr std::string_view kRoot = "/copies/";
 constexpr std::string_view kAfter = "?after=";
 constexpr int kNothingNewer = 204;
@@ -35,7 +35,7 @@
 // has read it.
 struct CopyRequest {
   StoreList list;
-  std::int64_t position = 0;
+  StorePosition position;
 };
 
 auto ParseCopyRequest(std::string_view target) -> std::optional<CopyRequest> {
@@ -50,7 +50,9 @@
   const bool whole = read.ptr == digits.data() + digits.size();
   if (read.ec != std::errc() || !whole) return std::nullopt;
   for (const auto& [list, name] : kLists) {
-    if (name == target.substr(0, query)) return CopyRequest{list, position};
+    if (name == target.substr(0, query)) {
+      return CopyRequest{list, StorePosition::FromPacked(position)};
+    }
   }
   return std::nullopt;
 }
@@ -114,7 +116,7 @@
   const auto& address = addresses_.at(daemon);
   const auto position = link_->positions().at(static_cast<std::size_t>(list));
   auto request = "GET " + std::string(kRoot) + std::string(ListName(list)) +
-                 std::string(kAfter) + std::to_string(position) +
+                 std::string(kAfter) + std::to_string(position.Packed()) +
                  " HTTP/1.1\r\nHost: " + address.Text() + "\r\n\r\n";
   eventhttp::CallOptions options;
   options.timeout = kFetchTimeout;
@@ -141,7 +143,8 @@
   line.Add("list", ListName(list))
       .Add("from", daemon.Value())
       .Add("outcome", outcome)
-      .Add("position", link_->positions().at(static_cast<std::size_t>(list)));
+      .Add("position",
+           link_->positions().at(static_cast<std::size_t>(list)).Packed());
   if (behind_since) line.AddMs("behind_ms", now - *behind_since);
   if (!good) line.Add("error", newer.error().Text());
 }
--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -121,7 +121,7 @@
     -> void {
   const auto& changes = summary.changes;
   // Only a hub that reads the store itself keeps others from doing so.
-  if (changes.relist_required || changes.position == 0) return;
+  if (changes.relist_required || changes.position == StorePosition()) return;
   if (summary.store_response_age <= kFreshStore) {
     news_current_at_ =
         std::max(news_current_at_, now - summary.store_response_age);
@@ -184,7 +184,7 @@
   if (summary.grants_only) return summary;
   summary.leader = leader_;
   summary.leader_fence = leader_fence_;
-  summary.lease_revision = lease_revision_;
+  summary.lease_position = lease_position_;
   summary.unloading = unloading_;
   summary.loaded = loaded_;
   if (leading_) summary.lease_holder_age = Duration::zero();
@@ -193,7 +193,7 @@
     if (!leading_ && leader_seen_ != Timestamp{}) {
       summary.lease_holder_age = now - leader_seen_;
     }
-    summary.lease_revision = std::max(lease_revision_, hub_lease_revision_);
+    summary.lease_position = std::max(lease_position_, hub_lease_position_);
     if (Backed()) {
       summary.unloading.insert(summary.unloading.end(), hub_unloading_.begin(),
                                hub_unloading_.end());
@@ -237,9 +237,9 @@
     leader_seen_ =
         std::max<Timestamp>(leader_seen_, now - *summary.lease_holder_age);
   }
-  if (summary.lease_revision > 0) {
-    hub_lease_revision_ = summary.lease_revision;
-    on_lease_announced_(summary.lease_revision);
+  if (summary.lease_position.revision > 0) {
+    hub_lease_position_ = summary.lease_position;
+    on_lease_announced_(summary.lease_position);
   }
   SetLeader(summary.leader, summary.leader_fence);
   hub_unloading_ = summary.unloading;
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -34,12 +34,13 @@
   }
   // Whether this daemon orders loads now.
   auto SetLeading(bool leading) -> void { leading_ = leading; }
-  // Revision of its last write of the order lease; 0 if it is not the holder.
-  auto SetLeaseRevision(std::int64_t revision) -> void {
-    lease_revision_ = revision;
+  // Position of its last write of the order lease; revision 0 if it is not the
+  // holder.
+  auto SetLeasePosition(StorePosition position) -> void {
+    lease_position_ = position;
   }
-  // Where the revision that another holder told goes.
-  auto OnLeaseAnnounced(std::function<void(std::int64_t)> handler) -> void {
+  // Where the position that another holder told goes.
+  auto OnLeaseAnnounced(std::function<void(StorePosition)> handler) -> void {
     on_lease_announced_ = std::move(handler);
   }
   auto SetUnloading(std::vector<fleet::UnloadingModel> unloading) -> void {
@@ -156,7 +157,7 @@
   // What the last hub announced, for daemons that report here.
   std::vector<fleet::UnloadingModel> hub_unloading_;
   std::vector<fleet::LoadedModel> hub_loaded_;
-  std::int64_t hub_lease_revision_ = 0;
+  StorePosition hub_lease_position_;
   std::int64_t sequence_ = 0;
   Timestamp reported_at_{};
   Timestamp periodic_report_due_{};
@@ -169,8 +170,8 @@
   InstanceId leader_;
   std::int64_t leader_fence_ = 0;
   bool leading_ = false;
-  std::int64_t lease_revision_ = 0;
-  std::function<void(std::int64_t)> on_lease_announced_;
+  StorePosition lease_position_;
+  std::function<void(StorePosition)> on_lease_announced_;
 };
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -82,7 +82,7 @@
   };
   fleet_.SetStoreLink(link_);
   fleet_.OnLeaseAnnounced(
-      [this](std::int64_t revision) { orders_.OnLeaseAnnounced(revision); });
+      [this](StorePosition position) { orders_.OnLeaseAnnounced(position); });
   fleet_.OnStoreAnswered(
       [this](Timestamp at) { lapsed_.OnResponseToOtherDaemon(at); });
   fleet_.OnNews([this](const fleet::UpstreamChanges& news) { OnNews(news); });
@@ -136,6 +136,7 @@
   events.on_store_call = [this](const std::string& call) {
     context_.metrics.Count(GatewayCounter::kStoreCalls, call);
   };
+  events.on_store_epoch = [this](const auto& change) { OnStoreEpoch(change); };
   events.on_bad_entry = [this](const Error& error) {
     context_.metrics.Count(GatewayCounter::kBadEntries,
                            ErrorKindName(error.kind));
@@ -210,7 +211,7 @@
 }
 
 auto Gateway::RemoveUpstream(const UpstreamId& id, const char* cause,
-                             std::int64_t position) -> void {
+                             StorePosition position) -> void {
   fleet_.Journal().OnRemoved(id, position);
   const auto known = context_.upstreams.Find(id);
   if (!known) return;
@@ -314,6 +315,20 @@
       .AddMs("since_answer_ms", now - lapsed_.LastResponseAt());
 }
 
+auto Gateway::OnStoreEpoch(const StoreEpochChange& change) -> void {
+  orders_.OnStoreEpoch(change.after);
+  context_.metrics.Set(GatewayLevel::kStoreEpoch,
+                       static_cast<double>(change.after.Value()));
+  if (change.before) {
+    context_.metrics.Count(GatewayCounter::kStoreRestores, change.source);
+  }
+  context_.log.Write(EventRank::kState, "store_epoch")
+      .Add("before", change.before.value_or(StoreEpoch()).Value())
+      .Add("after", change.after.Value())
+      .Add("restored", change.before.has_value())
+      .Add("source", change.source);
+}
+
 // The state that is read off when metrics are asked for.
 auto Gateway::SetLevels() -> void {
   const auto now = MonotonicNow();
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -55,9 +55,10 @@
   auto OnZonesOut(std::set<AvailabilityZoneId> zones) -> void;
   auto OnMembers(std::vector<Member> members) -> void;
   auto OnStoreContact(const Result<void>& result) -> void;
+  auto OnStoreEpoch(const StoreEpochChange& change) -> void;
   // `position` is the store's, at which the removal was read.
   auto RemoveUpstream(const UpstreamId& id, const char* cause,
-                      std::int64_t position) -> void;
+                      StorePosition position) -> void;
   auto Tick() -> void;
   auto SetLevels() -> void;
   auto NoteClocks(Timestamp now) -> void;
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 8> kCounters{{
+const std::array<Name, 9> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -37,13 +37,15 @@
      "Objects in the store that cannot be used, by the kind of error."},
     {"dotterellug_gateway_store_calls_total", "call",
      "Calls to the store, by method, kind of object and result."},
+    {"dotterellug_gateway_store_restores_total", "call",
+     "Restores of the store from a backup, by the call that showed them."},
     {"dotterellug_gateway_copy_fetches_total", "outcome",
      "Copies of lists in the store asked of other daemons, by outcome."},
     {"dotterellug_gateway_log_lines_dropped_total", "event",
      "Log lines that did not fit the bounds, by event."},
 }};
 
-const std::array<Name, 12> kLevels{{
+const std::array<Name, 13> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -56,6 +58,8 @@
      "1 while this daemon may order loads."},
     {"dotterellug_gateway_store_answer_age_seconds", "",
      "Time since the store last answered this daemon."},
+    {"dotterellug_gateway_store_epoch", "",
+     "Epoch of the store, which rises with each restore; 0 if it states none."},
     {"dotterellug_gateway_hub_answer_age_seconds", "",
      "Time since a hub last answered this daemon."},
     {"dotterellug_gateway_zone_hub_daemons", "",
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -18,6 +18,7 @@
   kOrders,
   kBadEntries,
   kStoreCalls,
+  kStoreRestores,
   kCopyFetches,
   kDroppedLines,
 };
@@ -31,6 +32,7 @@
   kMembers,
   kOrderLeaseHeld,
   kStoreAnswerAge,
+  kStoreEpoch,
   kHubAnswerAge,
   kZoneHubDaemons,
   kFleetHubDaemons,
--- a/daemon/gateway/gateway_settings.h
+++ b/daemon/gateway/gateway_settings.h
@@ -28,6 +28,9 @@
 struct GatewaySettings {
   InstanceId instance;
   AvailabilityZoneId zone;
+  // Whether this process may be one of the first of the whole system. If not,
+  // another daemon may have held the order lease although no record shows it.
+  bool bootstrap = true;
   // Processor share of the instance, in cores.
   double capacity = 0;
   // The address on which callers' requests arrive.
--- a/daemon/gateway/order_desk.cc
+++ b/daemon/gateway/order_desk.cc
@@ -90,7 +90,8 @@
       fleet_(fleet),
       link_(std::move(link)),
       lease_(context.settings.instance,
-             OrderLeaseTiming{context.settings.bounds.lease_ttl}),
+             OrderLeaseTiming{context.settings.bounds.lease_ttl},
+             context.settings.bootstrap),
       unanswered_({UnansweredOrderOptions{}.lifetime,
                    context.settings.bounds.engines_check_fences}),
       wanted_adapters_(kWantedTime),
@@ -102,7 +103,7 @@
   const auto now = MonotonicNow();
   StepLease(now);
   SetLeading(lease_.FenceForOrder(SuspendAwareNow()).has_value());
-  fleet_.SetLeaseRevision(lease_.OwnRevision());
+  fleet_.SetLeasePosition(lease_.OwnPosition());
   // Also after the right is lost: what was ordered before is still under way.
   Publish(now);
   WatchEngines(now);
@@ -157,7 +158,7 @@
   lease_.OnRead(record, now);
 }
 
-auto OrderDesk::OnLeaseWritten(const Result<std::int64_t>& result) -> void {
+auto OrderDesk::OnLeaseWritten(const Result<StorePosition>& result) -> void {
   const auto now = SuspendAwareNow();
   if (result) return lease_.OnWritten(*result, now);
   context_.log.Write(EventRank::kState, "order_lease_write_failed")
@@ -169,13 +170,13 @@
 }
 
 auto OrderDesk::SetLeading(bool leading) -> void {
-  if (leading == leading_) return;
+  if (leading == leading_) return AnnounceNewFence();
   leading_ = leading;
   leading_since_ = MonotonicNow();
   fleet_.SetLeading(leading);
   if (leading) {
-    fleet_.SetLeader(context_.settings.instance,
-                     lease_.FenceForOrder(SuspendAwareNow()).value_or(0));
+    announced_fence_ = lease_.FenceForOrder(SuspendAwareNow()).value_or(0);
+    fleet_.SetLeader(context_.settings.instance, announced_fence_);
     unanswered_.OnHeld(lease_.HadPredecessor(), leading_since_);
   }
   // A new holder begins with what the engines say and without credit at the
@@ -189,6 +190,16 @@
       .Add("fence", lease_.FenceForOrder(SuspendAwareNow()).value_or(0));
 }
 
+// A holder that acquires the lease again after a restore of the store goes on
+// with a higher fencing number.
+auto OrderDesk::AnnounceNewFence() -> void {
+  const auto fence = lease_.FenceForOrder(SuspendAwareNow()).value_or(0);
+  if (!leading_ || fence <= announced_fence_) return;
+  announced_fence_ = fence;
+  fleet_.SetLeader(context_.settings.instance, fence);
+  context_.log.Write(EventRank::kState, "order_lease_held").Add("fence", fence);
+}
+
 auto OrderDesk::WatchEngines(Timestamp now) -> void {
   if (now - watched_at_ < kWatchInterval) return;
   watched_at_ = now;
--- a/daemon/gateway/order_desk.h
+++ b/daemon/gateway/order_desk.h
@@ -36,10 +36,12 @@
   auto Stop(Duration time) -> void;
   // Whether the right is given up and the store knows, as far as it answers.
   auto Stopped() const -> bool { return lease_.Stopped(); }
-  // Another daemon holds the lease and told the revision of its last write.
-  auto OnLeaseAnnounced(std::int64_t revision) -> void {
-    lease_.OnRenewalAnnounced(revision, SuspendAwareNow());
+  // Another daemon holds the lease and told the position of its last write.
+  auto OnLeaseAnnounced(StorePosition position) -> void {
+    lease_.OnRenewalAnnounced(position, SuspendAwareNow());
   }
+  // The store is in this epoch.
+  auto OnStoreEpoch(StoreEpoch epoch) -> void { lease_.OnStoreEpoch(epoch); }
   // Whether this daemon holds the right to order now.
   auto Leading() const -> bool { return leading_; }
 
@@ -79,8 +81,9 @@
   auto Contends(Timestamp now) const -> bool;
   auto OnLeaseRead(const Result<std::optional<OrderLeaseRecord>>& result)
       -> void;
-  auto OnLeaseWritten(const Result<std::int64_t>& result) -> void;
+  auto OnLeaseWritten(const Result<StorePosition>& result) -> void;
   auto SetLeading(bool leading) -> void;
+  auto AnnounceNewFence() -> void;
 
   // Notes the processes of all engines.
   auto WatchEngines(Timestamp now) -> void;
@@ -115,6 +118,8 @@
   RequestedAdapters wanted_adapters_;
   fleet::ModelAnnouncements announcements_;
   bool leading_ = false;
+  // The fencing number that was last told to other daemons as the holder's.
+  std::int64_t announced_fence_ = 0;
   Timestamp started_at_;
   Timestamp leading_since_{};
   Timestamp planned_at_{};
--- a/modules/core/tests/core_tests.cc
+++ b/modules/core/tests/core_tests.cc
@@ -5,6 +5,7 @@
 #include <type_traits>
 
 #include "core/core.h"
+#include "core/ids/store_position.h"
 
 namespace dotterellug {
 namespace {
@@ -63,5 +64,21 @@
       "2023-11-14T22:13:20.123Z");
 }
 
+// Guards against a position after a restore of the store that counts as older,
+// because revisions go back, also in messages.
+TEST(StorePositionTest, ALaterEpochIsAfterAnyRevisionOfAnEarlierOne) {
+  const StorePosition before(StoreEpoch(1), StorePosition::kMaxRevision);
+  const StorePosition after(StoreEpoch(2), 0);
+  EXPECT_LT(before, after);
+  EXPECT_LT(before.Packed(), after.Packed());
+  EXPECT_EQ(StorePosition::FromPacked(before.Packed()), before);
+  EXPECT_EQ(StorePosition::FromPacked(after.Packed()), after);
+  const StorePosition last(StoreEpoch(StorePosition::kMaxEpoch),
+                           StorePosition::kMaxRevision);
+  EXPECT_EQ(StorePosition::FromPacked(last.Packed()), last);
+  // Without epochs, a position is written as before there were any.
+  EXPECT_EQ(StorePosition(17).Packed(), 17);
+}
+
 }  // namespace
 }  // namespace dotterellug
--- a/modules/eventhttp/client/buffered_call.cc
+++ b/modules/eventhttp/client/buffered_call.cc
@@ -44,6 +44,7 @@
   ExchangeHandlers handlers;
   handlers.on_head = [call](ResponseHead& head) {
     call->answer.status = head.status;
+    call->answer.fields = head.fields;
     call->answer.reused_connection = call->connection->Reused();
     return HeadVerdict::kAccept;
   };
--- a/modules/eventhttp/client/buffered_call.h
+++ b/modules/eventhttp/client/buffered_call.h
@@ -15,6 +15,7 @@
   ExchangeEnd end = ExchangeEnd::kNoResponse;
   // 0 if there was no response.
   int status = 0;
+  HeaderFields fields;
   std::string body;
   // Whether the connection carried other calls before. A faulty server may send
   // the answer to one of those once more.
--- a/modules/fleet/changes/upstream_change_log.cc
+++ b/modules/fleet/changes/upstream_change_log.cc
@@ -16,18 +16,18 @@
 
 }  // namespace
 
-auto UpstreamChangeLog::OnFullListRead(std::int64_t position) -> void {
+auto UpstreamChangeLog::OnFullListRead(StorePosition position) -> void {
   if (oldest_position_ == 0) oldest_position_ = position;
   position_ = std::max(position_, position);
 }
 
 auto UpstreamChangeLog::OnChanged(const serving::UpstreamRecord& record,
-                                  std::int64_t position) -> void {
+                                  StorePosition position) -> void {
   records_[record.id] = record;
   Append({position, record.id, false});
 }
 
-auto UpstreamChangeLog::OnRemoved(const UpstreamId& id, std::int64_t position)
+auto UpstreamChangeLog::OnRemoved(const UpstreamId& id, StorePosition position)
     -> void {
   records_.erase(id);
   Append({position, id, true});
@@ -42,7 +42,7 @@
   changes_.pop_front();
 }
 
-auto UpstreamChangeLog::Since(std::int64_t position) const -> UpstreamChanges {
+auto UpstreamChangeLog::Since(StorePosition position) const -> UpstreamChanges {
   UpstreamChanges changes;
   changes.position = position;
   if (position < oldest_position_ || oldest_position_ == 0) {
--- a/modules/fleet/changes/upstream_change_log.h
+++ b/modules/fleet/changes/upstream_change_log.h
@@ -1,21 +1,20 @@
 #pragma once
 
-#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <vector>
 
 #include "core/core.h"
+#include "core/ids/store_position.h"
 #include "serving/fleet/upstream_view.h"
 
 namespace dotterellug::fleet {
 
-// Changes to the list of upstreams after a given position. A position is a
-// store revision.
+// Changes to the list of upstreams after a given position in the store.
 struct UpstreamChanges {
   // Position that a reader has reached after applying these changes.
-  std::int64_t position = 0;
+  StorePosition position;
   std::vector<serving::UpstreamRecord> changed;
   std::vector<UpstreamId> removed;
   // True if the requested position precedes the log. The reader has to read the
@@ -25,31 +24,32 @@
 
 // A bounded log of changes to the list of upstreams. A daemon that watches the
 // list in the store uses it to forward changes to daemons that do not watch it.
-// Positions are store revisions, so a reader can switch between daemons. Not
+// Positions are those of the store, so a reader can switch between daemons; one
+// of a later epoch is after all of an earlier one, whatever its revision. Not
 // thread-safe.
 class UpstreamChangeLog {
  public:
   // Records that the full list was read at `position`. The first call sets the
   // start of the log; earlier changes are not covered.
-  auto OnFullListRead(std::int64_t position) -> void;
+  auto OnFullListRead(StorePosition position) -> void;
   // Records a new or changed upstream.
-  auto OnChanged(const serving::UpstreamRecord& record, std::int64_t position)
+  auto OnChanged(const serving::UpstreamRecord& record, StorePosition position)
       -> void;
   // Records the removal of an upstream.
-  auto OnRemoved(const UpstreamId& id, std::int64_t position) -> void;
+  auto OnRemoved(const UpstreamId& id, StorePosition position) -> void;
 
   // Returns the first changes after `position`, limited to a small number of
   // upstreams so that the reply fits into a datagram; call again with the
   // returned position for the rest. Of several changes to one upstream only the
   // latest state is returned. Before the first OnFullListRead, returns no
   // changes and `position` unchanged.
-  auto Since(std::int64_t position) const -> UpstreamChanges;
+  auto Since(StorePosition position) const -> UpstreamChanges;
   // Latest position recorded.
-  auto Position() const -> std::int64_t { return position_; }
+  auto Position() const -> StorePosition { return position_; }
 
  private:
   struct Change {
-    std::int64_t position = 0;
+    StorePosition position;
     UpstreamId id;
     bool removed = false;
   };
@@ -58,8 +58,8 @@
 
   // Positions before this one are not covered; 0 before the first
   // OnFullListRead.
-  std::int64_t oldest_position_ = 0;
-  std::int64_t position_ = 0;
+  StorePosition oldest_position_;
+  StorePosition position_;
   std::deque<Change> changes_;
   std::map<UpstreamId, serving::UpstreamRecord> records_;
 };
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -113,18 +113,32 @@
   return record;
 }
 
+auto EncodePositions(const std::vector<StorePosition>& positions) -> Json {
+  auto list = Json::array();
+  for (const auto& position : positions) list.push_back(position.Packed());
+  return list;
+}
+
+auto DecodePositions(const Json& list) -> std::vector<StorePosition> {
+  std::vector<StorePosition> positions;
+  for (const auto& packed : list.get<std::vector<std::int64_t>>()) {
+    positions.push_back(StorePosition::FromPacked(packed));
+  }
+  return positions;
+}
+
 auto EncodeChanges(const UpstreamChanges& changes) -> Json {
   auto changed = Json::array();
   for (const auto& record : changes.changed) {
     changed.push_back(EncodeRecord(record));
   }
-  return Json::array({changes.position, std::move(changed),
+  return Json::array({changes.position.Packed(), std::move(changed),
                       EncodeIds(changes.removed), changes.relist_required});
 }
 
 auto DecodeChanges(const Json& list) -> UpstreamChanges {
   UpstreamChanges changes;
-  changes.position = list.at(0).get<std::int64_t>();
+  changes.position = StorePosition::FromPacked(list.at(0).get<std::int64_t>());
   for (const auto& record : list.at(1)) {
     changes.changed.push_back(DecodeRecord(record));
   }
@@ -305,13 +319,13 @@
       {kReportTag, report.from.Value(), report.incarnation.Value(),
        report.sequence, EncodeLoads(report.upstreams), std::move(models),
        std::move(missing_adapters), std::move(token_requests),
-       report.upstream_position, EncodeIds(report.unreachable),
+       report.upstream_position.Packed(), EncodeIds(report.unreachable),
        static_cast<int>(report.level), report.urgent_only,
        EncodeIds(report.included_daemons), std::move(request_waits)});
   AppendOptional(message, {EncodeEvidence(report.prompt_evidence),
                            EncodeBackpressure(report.backpressure),
                            EncodeUpstreamRequests(report.token_requests),
-                           report.store_positions});
+                           EncodePositions(report.store_positions)});
   return message;
 }
 
@@ -342,9 +356,10 @@
        summary.leader.Value(), summary.leader_fence,
        summary.lease_holder_age == Duration::zero(),
        EncodeLoads(summary.other_daemons_loads), std::move(grants),
-       std::move(unloading), std::move(loaded), summary.store_positions,
+       std::move(unloading), std::move(loaded),
+       EncodePositions(summary.store_positions),
        summary.store_response_age.count(), EncodeChanges(summary.changes),
-       summary.lease_revision, EncodeIds(summary.unreachable),
+       summary.lease_position.Packed(), EncodeIds(summary.unreachable),
        static_cast<int>(summary.level), summary.grants_only,
        EncodeAge(summary.lease_holder_age), std::move(queued)});
   AppendOptional(message, {EncodeEvidence(summary.prompt_evidence),
@@ -377,7 +392,8 @@
         {ClientAccountId(token_requests[i].get<std::string>()),
          token_requests[i + 1].get<std::int64_t>()});
   }
-  report.upstream_position = list.at(8).get<std::int64_t>();
+  report.upstream_position =
+      StorePosition::FromPacked(list.at(8).get<std::int64_t>());
   report.unreachable = DecodeIds<std::vector<UpstreamId>>(list.at(9));
   if (list.size() == kFirstReportSize) return report;
   report.level = DecodeLevel(list.at(10));
@@ -398,8 +414,7 @@
     DecodeUpstreamRequests(list[kReportEvidence + 2], report.token_requests);
   }
   if (list.size() > kReportEvidence + 3) {
-    report.store_positions =
-        list[kReportEvidence + 3].get<std::vector<std::int64_t>>();
+    report.store_positions = DecodePositions(list[kReportEvidence + 3]);
   }
   return report;
 }
@@ -429,10 +444,11 @@
                               ModelId(loaded[i + 1].get<std::string>()),
                               AdapterId(loaded[i + 2].get<std::string>())});
   }
-  summary.store_positions = list.at(10).get<std::vector<std::int64_t>>();
+  summary.store_positions = DecodePositions(list.at(10));
   summary.store_response_age = Duration(list.at(11).get<std::int64_t>());
   summary.changes = DecodeChanges(list.at(12));
-  summary.lease_revision = list.at(13).get<std::int64_t>();
+  summary.lease_position =
+      StorePosition::FromPacked(list.at(13).get<std::int64_t>());
   summary.unreachable = DecodeIds<std::vector<UpstreamId>>(list.at(14));
   if (list.size() == kFirstSummarySize) return summary;
   summary.level = DecodeLevel(list.at(15));
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -85,12 +85,12 @@
   std::vector<ModelDemand> models;
   std::vector<MissingAdapter> missing_adapters;
   std::vector<TokenRequest> token_requests;
-  // Store revision up to which the sender has applied upstream changes.
-  std::int64_t upstream_position = 0;
-  // Store revisions up to which the sender, or a daemon of which it knows, has
-  // read changes, as in FleetSummary. A hub that cannot read the store learns
-  // from them that there is something to read.
-  std::vector<std::int64_t> store_positions;
+  // Position in the store up to which the sender has applied upstream changes.
+  StorePosition upstream_position;
+  // Positions in the store up to which the sender, or a daemon of which it
+  // knows, has read changes, as in FleetSummary. A hub that cannot read the
+  // store learns from them that there is something to read.
+  std::vector<StorePosition> store_positions;
   // Upstreams that the sender recently failed to reach. An upstream is listed
   // once for each daemon included in the report that failed to reach it.
   std::vector<UpstreamId> unreachable;
@@ -149,17 +149,17 @@
   // by the hub to which it reports. 0 if this hub holds the lease; nothing if
   // no holder has been heard from.
   std::optional<Duration> lease_holder_age;
-  // Store revision of the holder's last write of the order lease, as announced
-  // by the holder; 0 if unknown.
-  std::int64_t lease_revision = 0;
+  // Position of the holder's last write of the order lease, as announced by the
+  // holder; revision 0 if unknown.
+  StorePosition lease_position;
   // Load from all daemons known to the hub, without the load in the receiver's
   // report.
   std::vector<ReportedLoad> other_daemons_loads;
   std::vector<TokenGrant> grants;
-  // Store revisions up to which the hub, or a daemon of which it knows, has
-  // read changes, by kind of object: configuration, upstreams, zones taken out
-  // of service, registered daemons.
-  std::vector<std::int64_t> store_positions;
+  // Positions in the store up to which the hub, or a daemon of which it knows,
+  // has read changes, by kind of object: configuration, upstreams, zones taken
+  // out of service, registered daemons.
+  std::vector<StorePosition> store_positions;
   // Time since the store last answered a request of the hub for upstreams.
   Duration store_response_age{0};
   // Changes to the list of upstreams after the reporting daemon's position.
--- a/modules/placement/lease/order_lease.h
+++ b/modules/placement/lease/order_lease.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "core/core.h"
+#include "core/ids/store_position.h"
 
 namespace dotterellug {
 
@@ -12,7 +13,9 @@
 struct OrderLeaseRecord {
   InstanceId holder;
   // Fencing number: grows with each acquisition of the lease. Engines reject
-  // orders with a lower number than the highest they have seen.
+  // orders with a lower number than the highest they have seen. In a store that
+  // states its epoch it is at least the packed position of the record that the
+  // acquiring write replaced.
   std::int64_t fence = 0;
   // The holder released the lease and sends no more orders.
   bool released = false;
@@ -22,6 +25,17 @@
   // send no order. nullopt is the whole time, as after an order just before the
   // release; it is less if the holder sent none.
   std::optional<Duration> order_delay{};
+  // Epoch of the store in which `revision` was read or written.
+  StoreEpoch epoch{};
+
+  auto Position() const -> StorePosition { return {epoch, revision}; }
+  // Whether the record was written by a holder that acquired the lease in the
+  // epoch in which the record was read. Any other record may come from a
+  // backup, or from a write that met a reused revision, and says nothing about
+  // who held the lease last.
+  auto WrittenInItsEpoch() const -> bool {
+    return revision > 0 && StorePosition::FromPacked(fence).epoch == epoch;
+  }
 };
 
 // Timing of the lease; the fractions are of its TTL. Together they ensure that
@@ -46,8 +60,10 @@
 // also counts while the machine is suspended (SuspendAwareNow).
 class OrderLease {
  public:
-  OrderLease(InstanceId self, OrderLeaseTiming times)
-      : self_(std::move(self)), times_(times) {}
+  // `bootstrap` is whether this process may be one of the first of the whole
+  // system, so that a lease without a record has never been held.
+  OrderLease(InstanceId self, OrderLeaseTiming times, bool bootstrap = true)
+      : self_(std::move(self)), times_(times), bootstrap_(bootstrap) {}
 
   // What the caller should do next: nothing, or a call to the store.
   enum class Step { kNothing, kRead, kWrite };
@@ -56,26 +72,36 @@
   // its result is passed to the matching On function.
   auto Next(bool contend, Timestamp now) -> Step;
   // The record to write after kWrite. The write must fail with a conflict
-  // unless the stored revision is the one in this record.
+  // unless the stored revision is the one in this record. Where the store is
+  // known to be in another epoch than the record's, it should fail without a
+  // call.
   auto Proposal() const -> const OrderLeaseRecord& { return proposal_; }
 
   // The results of the call in progress; exactly one follows each kRead or
   // kWrite.
   auto OnRead(const OrderLeaseRecord& record, Timestamp now) -> void;
   auto OnReadFailed(Timestamp now) -> void;
-  auto OnWritten(std::int64_t revision, Timestamp now) -> void;
+  // `written` is in the epoch that the response to the write bears. If that is
+  // not the epoch in which the record was read, the condition of the write met
+  // a reused revision, and it does not count.
+  auto OnWritten(StorePosition written, Timestamp now) -> void;
   // The write failed because the record had changed; it is read again.
   auto OnConflict(Timestamp now) -> void;
   // The write failed with an unknown outcome; the record is read again.
   auto OnWriteFailed(Timestamp now) -> void;
-  // The holder announced that its last renewal created `revision`. If the
-  // record still has this revision when it is read, its age counts from the
-  // announcement. Otherwise a daemon that reads the record for the first time
-  // would have to wait for the full expiry time from then on.
-  auto OnRenewalAnnounced(std::int64_t revision, Timestamp now) -> void;
-  // Revision of this daemon's last write while it is the holder, or 0.
-  auto OwnRevision() const -> std::int64_t {
-    return is_holder_ ? record_.revision : 0;
+  // The store is in this epoch, as far as this daemon knows. Call it for the
+  // first epoch as well. A holder of an earlier epoch reads the record at once.
+  auto OnStoreEpoch(StoreEpoch epoch) -> void;
+  // The holder announced that its last renewal is at `position`. If the record
+  // is still there when it is read, its age counts from the announcement.
+  // Otherwise a daemon that reads the record for the first time would have to
+  // wait for the full expiry time from then on.
+  auto OnRenewalAnnounced(StorePosition position, Timestamp now) -> void;
+  // Position of this daemon's last write while it is the holder; revision 0 if
+  // it is not, or if the store was restored since.
+  auto OwnPosition() const -> StorePosition {
+    return is_holder_ && !HeldInEarlierEpoch() ? record_.Position()
+                                               : StorePosition();
   }
 
   // The fencing number for an order sent now; nullopt if this daemon must not
@@ -109,12 +135,34 @@
     return release_at_ && now >= *release_at_;
   }
   auto MayAcquire(Timestamp now) const -> bool;
+  // Whether the lease has no record because nobody ever held it. Without a
+  // record this is known only in the first epoch that this process has seen,
+  // and only if the process may be one of the first of the system.
+  auto NeverHeld() const -> bool;
+  // Whether this daemon holds the lease from before the store was restored.
+  auto HeldInEarlierEpoch() const -> bool {
+    return is_holder_ && latest_epoch_ > held_epoch_;
+  }
+  // Whether orders may be sent as far as the last renewal goes.
+  auto RenewalValid(Timestamp now) const -> bool {
+    return now - renewed_at_ < OfTtl(times_.valid_fraction);
+  }
+  // The fencing number of an acquisition that replaces the last known record.
+  auto NextFence() const -> std::int64_t;
   // The delay of orders after acquiring a released record.
   auto DelayAfterRelease() const -> Duration;
 
   InstanceId self_;
   OrderLeaseTiming times_;
+  bool bootstrap_;
   bool is_holder_ = false;
+  // Fencing number of this daemon as the holder, and the epoch in which it
+  // acquired the lease.
+  std::int64_t held_fence_ = 0;
+  StoreEpoch held_epoch_;
+  // The first epoch that this process has seen, and the latest.
+  std::optional<StoreEpoch> first_epoch_;
+  StoreEpoch latest_epoch_;
   bool call_pending_ = false;
   // Whether the record must be read before the next write.
   bool must_reread_ = true;
@@ -122,7 +170,7 @@
   OrderLeaseRecord record_;
   Timestamp unchanged_since_{};
   Timestamp read_at_{};
-  std::int64_t announced_revision_ = 0;
+  StorePosition announced_position_;
   Timestamp announced_at_{};
   OrderLeaseRecord proposal_;
   Timestamp write_started_at_{};
--- a/modules/placement/tests/order_lease_tests.cc
+++ b/modules/placement/tests/order_lease_tests.cc
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 
 #include "placement/lease/contention_delay.h"
@@ -15,31 +16,44 @@
 
 constexpr double kTtlSeconds = 3.0;
 
+// Which faults of the store are simulated beside its outages.
+struct StoreFaults {
+  // One restore from a backup in so many steps on average; 0 is none.
+  std::uint64_t restore_interval = 0;
+  // Whether responses state the epoch of the store.
+  bool states_epoch = true;
+};
+
 // Simulates four daemons that share a lease in a store with conditional writes.
 // Replies of the store are late, lost although the write took effect, or
-// errors; the store goes down, and daemons pause, resume, lose their
-// connection, and are stopped and replaced.
+// errors; the store goes down and is restored from a backup, and daemons pause,
+// resume, lose their connection, and are stopped and replaced.
 class LeaseSimulation {
  public:
-  LeaseSimulation(std::uint64_t seed, const OrderLeaseTiming& times)
-      : random_(seed), times_(times) {
+  LeaseSimulation(std::uint64_t seed, const OrderLeaseTiming& times,
+                  const StoreFaults& faults = {})
+      : random_(seed), times_(times), faults_(faults) {
+    epoch_ = StoreEpoch(faults_.states_epoch ? 1 : 0);
     for (int i = 0; i < 4; ++i) {
       daemons_.push_back(
           {OrderLease(InstanceId("d" + std::to_string(i)), times),
            0,
            0,
            0,
+           {},
            {}});
     }
   }
 
   // Runs for `seconds`. Returns whether all orders of different holders were at
-  // least a TTL apart and had growing fencing numbers.
+  // least a TTL apart, no fencing number belonged to two holders and none was
+  // lower than one before.
   auto Run(double seconds) -> bool {
     for (now_ = 0; now_ < seconds; now_ += 0.05) {
       if (random_.Below(120) == 0) {
         store_down_until_ = now_ + 1 + random_.Uniform() * 5;
       }
+      if (faults_.restore_interval > 0) BackUpOrRestore();
       for (std::size_t i = 0; i < daemons_.size(); ++i) Step(i);
       while (!events_.empty() && events_.front().first <= now_) {
         const auto event = std::move(events_.front().second);
@@ -53,8 +67,17 @@
 
   auto Orders() const -> int { return orders_; }
   auto HolderChanges() const -> int { return holder_changes_; }
+  auto Restores() const -> int { return restores_; }
+  // Writes that took effect although their condition was read before a restore.
+  auto CoincidentalWrites() const -> int { return coincidental_writes_; }
 
  private:
+  // What a backup of the store holds.
+  struct Backup {
+    double at = 0;
+    OrderLeaseRecord record;
+    std::int64_t revision = 0;
+  };
   struct SimulatedDaemon {
     OrderLease lease;
     double paused_until = 0;
@@ -63,8 +86,39 @@
     int process = 0;
     // When the process ends, if it is being stopped.
     std::optional<double> ends_at;
+    // The latest epoch that a response to this process stated.
+    StoreEpoch epoch;
   };
 
+  // Backs the store up about every half second, and sometimes restores a backup
+  // of the last seconds, also twice within a second. Other objects are written
+  // as well, so that revisions differ from run to run.
+  auto BackUpOrRestore() -> void {
+    if (random_.Below(10) == 0) backups_.push_back({now_, record_, revision_});
+    if (random_.Below(20) == 0) ++revision_;
+    while (!backups_.empty() && backups_.front().at < now_ - 8) {
+      backups_.pop_front();
+    }
+    const bool repeats = now_ < restore_repeats_until_ && random_.Below(8) == 0;
+    const bool due = random_.Below(faults_.restore_interval) == 0;
+    if (backups_.empty() || !(due || repeats)) return;
+    if (due) restore_repeats_until_ = now_ + 1;
+    const auto& backup = backups_[random_.Below(backups_.size())];
+    record_ = backup.record;
+    revision_ = backup.revision;
+    ++restores_;
+    if (faults_.states_epoch) epoch_ = epoch_.Next();
+    store_down_until_ = now_ + random_.Uniform() * 0.5;
+  }
+
+  // Whether the client of the store hands on a response of this epoch.
+  auto Accepts(std::size_t index, StoreEpoch epoch) -> bool {
+    auto& daemon = daemons_[index];
+    if (epoch < daemon.epoch) return false;
+    daemon.epoch = epoch;
+    return true;
+  }
+
   auto Step(std::size_t index) -> void {
     auto& daemon = daemons_[index];
     if (random_.Below(400) == 0) {
@@ -77,9 +131,16 @@
     if (random_.Below(400) == 0) BeginStop(daemon);
     if (daemon.ends_at && now_ >= *daemon.ends_at) {
       daemon.lease =
-          OrderLease(InstanceId("d" + std::to_string(index)), times_);
+          OrderLease(InstanceId("d" + std::to_string(index)), times_, false);
       ++daemon.process;
       daemon.ends_at.reset();
+      daemon.epoch = {};
+    }
+    // Another call to the store shows its epoch.
+    if (faults_.restore_interval > 0 && Reachable(index) &&
+        random_.Below(20) == 0) {
+      daemon.epoch = epoch_;
+      daemon.lease.OnStoreEpoch(epoch_);
     }
     SendOrderIfAllowed(index);
     switch (daemon.lease.Next(true, At(now_))) {
@@ -111,6 +172,8 @@
         invariants_hold_ = false;
       }
     }
+    const auto owner = owners_.try_emplace(*fence, index).first->second;
+    if (owner != index || *fence < last_fence_) invariants_hold_ = false;
     last_holder_ = index;
     last_order_ = now_;
     last_fence_ = *fence;
@@ -119,11 +182,11 @@
   // Announces the revision of the last write to some of the other daemons after
   // a random delay.
   auto AnnounceRenewal(std::size_t index) -> void {
-    const auto revision = daemons_[index].lease.OwnRevision();
+    const auto position = daemons_[index].lease.OwnPosition();
     for (std::size_t other = 0; other < daemons_.size(); ++other) {
       if (other == index || random_.Below(4) == 0) continue;
-      Schedule(other, random_.Uniform() * 0.5, [this, other, revision] {
-        daemons_[other].lease.OnRenewalAnnounced(revision, At(now_));
+      Schedule(other, random_.Uniform() * 0.5, [this, other, position] {
+        daemons_[other].lease.OnRenewalAnnounced(position, At(now_));
       });
     }
   }
@@ -145,12 +208,13 @@
 
   auto Read(std::size_t index) -> void {
     const bool failed = !Reachable(index);
-    const auto record = record_;
+    auto record = record_;
+    record.epoch = epoch_;
     const auto delay = 0.004 + random_.Uniform() * 0.3;
     const auto process = daemons_[index].process;
     Schedule(index, delay, [this, index, failed, record, process] {
       if (daemons_[index].process != process) return;
-      if (failed) {
+      if (failed || !Accepts(index, record.epoch)) {
         daemons_[index].lease.OnReadFailed(At(now_));
       } else {
         daemons_[index].lease.OnRead(record, At(now_));
@@ -172,6 +236,7 @@
     const bool applied_late = reply_lost && random_.Below(2) == 0;
     const auto apply = [this, proposal] {
       if (proposal.revision != record_.revision) return false;
+      if (proposal.epoch != epoch_) ++coincidental_writes_;
       record_ = proposal;
       record_.revision = ++revision_;
       return true;
@@ -180,19 +245,43 @@
       // Applied some seconds later if its condition still holds.
       Schedule(index, 1 + random_.Uniform() * 4, [apply] { apply(); });
     }
+    if (faults_.restore_interval > 0 && !reply_lost) {
+      return WriteAcrossRestore(index, delay, process, apply);
+    }
     const bool applied = !applied_late && apply();
-    const auto revision = record_.revision;
+    const StorePosition written(epoch_, record_.revision);
     Schedule(index, delay, [=] {
       if (daemons_[index].process != process) return;
       auto& lease = daemons_[index].lease;
       if (reply_lost) return lease.OnWriteFailed(At(now_));
       if (!applied) return lease.OnConflict(At(now_));
-      lease.OnWritten(revision, At(now_));
+      lease.OnWritten(written, At(now_));
+    });
+  }
+
+  // The write takes effect after the first half of `delay`, and its response
+  // states the epoch of that moment or, in one of four cases, that of its
+  // arrival. A restore may come before or after either.
+  auto WriteAcrossRestore(std::size_t index, double delay, int process,
+                          const std::function<bool()>& apply) -> void {
+    const bool stated_late = random_.Below(4) == 0;
+    Schedule(index, delay / 2, [=] {
+      const bool applied = apply();
+      const StorePosition written(epoch_, record_.revision);
+      Schedule(index, delay / 2, [=] {
+        if (daemons_[index].process != process) return;
+        auto& lease = daemons_[index].lease;
+        const auto epoch = stated_late ? epoch_ : written.epoch;
+        if (!Accepts(index, epoch)) return lease.OnWriteFailed(At(now_));
+        if (!applied) return lease.OnConflict(At(now_));
+        lease.OnWritten({epoch, written.revision}, At(now_));
+      });
     });
   }
 
   Random random_;
   OrderLeaseTiming times_;
+  StoreFaults faults_;
   std::vector<SimulatedDaemon> daemons_;
   std::deque<std::pair<double, std::function<void()>>> events_;
   OrderLeaseRecord record_;
@@ -202,8 +291,14 @@
   std::optional<std::size_t> last_holder_;
   double last_order_ = 0;
   std::int64_t last_fence_ = 0;
+  std::map<std::int64_t, std::size_t> owners_;
+  std::deque<Backup> backups_;
+  StoreEpoch epoch_;
+  double restore_repeats_until_ = 0;
   int orders_ = 0;
   int holder_changes_ = 0;
+  int restores_ = 0;
+  int coincidental_writes_ = 0;
   bool invariants_hold_ = true;
 };
 
@@ -243,6 +338,37 @@
   EXPECT_TRUE(FindsViolation(times));
 }
 
+// Guards against two holders with one fencing number, a lower one after a
+// higher one, and orders of two holders within a TTL, when the store is
+// restored from a backup of the last seconds. The record of the lease, the
+// count of fencing numbers and the revisions go back with it.
+TEST(OrderLeaseTest, FencingNumbersGrowAcrossRestoresOfTheStore) {
+  int holder_changes = 0;
+  int restores = 0;
+  int coincidental_writes = 0;
+  for (std::uint64_t seed = 1; seed <= 600; ++seed) {
+    LeaseSimulation simulation(seed, {}, {seed % 2 == 0 ? 100U : 400U, true});
+    EXPECT_TRUE(simulation.Run(120)) << "seed " << seed;
+    holder_changes += simulation.HolderChanges();
+    restores += simulation.Restores();
+    coincidental_writes += simulation.CoincidentalWrites();
+  }
+  EXPECT_GT(holder_changes, 300);
+  EXPECT_GT(restores, 3000);
+  EXPECT_GT(coincidental_writes, 10);
+}
+
+// The simulation must find the fault when the store does not state its epoch;
+// otherwise the test above could not fail.
+TEST(OrderLeaseTest, DetectsRepeatedFencingNumbersWithoutEpochs) {
+  int violations = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    LeaseSimulation simulation(seed, {}, {400, false});
+    violations += simulation.Run(120) ? 0 : 1;
+  }
+  EXPECT_GT(violations, 10);
+}
+
 // Guards against a takeover that takes a whole TTL longer than needed: a
 // successor measures the expiry time from the announcement of the last renewal.
 TEST(OrderLeaseTest, SuccessorCountsFromTheAnnouncedRenewal) {
@@ -394,6 +520,124 @@
   EXPECT_FALSE(lease.FenceForOrder(At(1)));
 }
 
+constexpr StoreEpoch kFirstEpoch(1);
+constexpr StoreEpoch kNextEpoch(2);
+
+// When `lease` first writes, in seconds, if the store keeps answering reads
+// with `record`; at most 12.
+auto FirstWrite(OrderLease& lease, const OrderLeaseRecord& record) -> double {
+  double now = 0;
+  for (; now < 12; now += 0.05) {
+    const auto step = lease.Next(true, At(now));
+    if (step == OrderLease::Step::kWrite) break;
+    if (step == OrderLease::Step::kRead) lease.OnRead(record, At(now));
+  }
+  return now;
+}
+
+// Guards against a holder beside another one whose record is not in the backup:
+// a missing record shows that the lease was never held only in the first epoch
+// that this process has seen, at the first start of the system.
+TEST(OrderLeaseTest, AMissingRecordAfterARestoreIsNotAFreeLease) {
+  OrderLeaseRecord missing;
+  missing.epoch = kNextEpoch;
+  OrderLease first(InstanceId("a"), {});
+  EXPECT_LT(FirstWrite(first, missing), 0.1);
+  OrderLease saw_a_restore(InstanceId("a"), {});
+  saw_a_restore.OnStoreEpoch(kFirstEpoch);
+  EXPECT_GE(FirstWrite(saw_a_restore, missing), 2.3);
+  OrderLease started_later(InstanceId("a"), {}, false);
+  EXPECT_GE(FirstWrite(started_later, missing), 2.3);
+  OrderLease heard_a_holder(InstanceId("a"), {});
+  heard_a_holder.OnRenewalAnnounced({kFirstEpoch, 7}, At(0));
+  EXPECT_GE(FirstWrite(heard_a_holder, missing), 2.3);
+}
+
+// Guards against a release, or an own name, from the backup that counts as the
+// last word on the lease.
+TEST(OrderLeaseTest, ARecordOfAnEarlierEpochIsNotAFreeLease) {
+  const auto fence = StorePosition(kFirstEpoch, 7).Packed();
+  for (const auto* holder : {"a", "b"}) {
+    const OrderLeaseRecord record{InstanceId(holder), fence,     true, 9,
+                                  Duration(0),        kNextEpoch};
+    OrderLease lease(InstanceId("a"), {});
+    EXPECT_GE(FirstWrite(lease, record), 2.3) << holder;
+    EXPECT_EQ(lease.Proposal().fence, StorePosition(kNextEpoch, 9).Packed());
+    lease.OnWritten({kNextEpoch, 10}, At(3));
+    // The delay of a takeover, not the one that the record states.
+    EXPECT_FALSE(lease.FenceForOrder(At(3.5))) << holder;
+  }
+}
+
+// Acquires the lease at time 0 in the first epoch, from a missing record.
+auto AcquireInFirstEpoch(OrderLease& lease) -> void {
+  ASSERT_EQ(lease.Next(true, At(0)), OrderLease::Step::kRead);
+  OrderLeaseRecord missing;
+  missing.epoch = kFirstEpoch;
+  lease.OnRead(missing, At(0));
+  ASSERT_EQ(lease.Next(true, At(0)), OrderLease::Step::kWrite);
+  lease.OnWritten({kFirstEpoch, 5}, At(0));
+  EXPECT_EQ(lease.FenceForOrder(At(0)), StorePosition(kFirstEpoch, 0).Packed());
+}
+
+// Guards against a renewal that counts because the revision on which it was
+// conditional was used again after a restore.
+TEST(OrderLeaseTest, ARenewalThatMetAReusedRevisionDoesNotCount) {
+  OrderLease lease(InstanceId("a"), {});
+  AcquireInFirstEpoch(lease);
+  ASSERT_EQ(lease.Next(true, At(1)), OrderLease::Step::kWrite);
+  lease.OnWritten({kNextEpoch, 6}, At(1.1));
+  // Orders go on as long as the renewal of the first epoch is valid.
+  EXPECT_TRUE(lease.FenceForOrder(At(1.4)));
+  EXPECT_FALSE(lease.FenceForOrder(At(1.5)));
+  EXPECT_EQ(lease.OwnPosition(), StorePosition());
+  EXPECT_EQ(lease.Next(true, At(1.2)), OrderLease::Step::kRead);
+}
+
+// Guards against a fleet that may not order for seconds after each restore,
+// although its holder is known, and against the old fencing number in the new
+// epoch.
+TEST(OrderLeaseTest, AHolderAcquiresAgainAtOnceWhileItsRenewalIsValid) {
+  OrderLease lease(InstanceId("a"), {});
+  AcquireInFirstEpoch(lease);
+  lease.OnStoreEpoch(kNextEpoch);
+  ASSERT_EQ(lease.Next(true, At(1)), OrderLease::Step::kRead);
+  // What the backup has of the lease.
+  lease.OnRead({InstanceId("b"), 3, false, 2, {}, kNextEpoch}, At(1));
+  EXPECT_TRUE(lease.FenceForOrder(At(1)));
+  ASSERT_EQ(lease.Next(true, At(1)), OrderLease::Step::kWrite);
+  EXPECT_EQ(lease.Proposal().revision, 2);
+  const auto fence = StorePosition(kNextEpoch, 2).Packed();
+  EXPECT_EQ(lease.Proposal().fence, fence);
+  lease.OnWritten({kNextEpoch, 3}, At(1.1));
+  EXPECT_EQ(lease.FenceForOrder(At(1.1)), fence);
+  EXPECT_EQ(lease.OwnPosition(), StorePosition(kNextEpoch, 3));
+}
+
+// Guards against orders of a former holder right after its write in the new
+// epoch, when its renewal had expired before and another daemon may have sent
+// orders since.
+TEST(OrderLeaseTest, AHolderWhoseRenewalExpiredWaitsAsAnyOther) {
+  OrderLease lease(InstanceId("a"), {});
+  AcquireInFirstEpoch(lease);
+  lease.OnStoreEpoch(kNextEpoch);
+  ASSERT_EQ(lease.Next(true, At(1.4)), OrderLease::Step::kRead);
+  lease.OnRead({InstanceId("a"), 3, true, 2, {}, kNextEpoch}, At(1.6));
+  EXPECT_NE(lease.Next(true, At(1.6)), OrderLease::Step::kWrite);
+  EXPECT_FALSE(lease.FenceForOrder(At(1.6)));
+}
+
+// Guards against an announcement of the epoch before that makes a record of the
+// new epoch with the same revision look older than it is.
+TEST(OrderLeaseTest, AnnouncementAppliesToItsEpochOnly) {
+  OrderLease lease(InstanceId("a"), {});
+  lease.OnRenewalAnnounced({kFirstEpoch, 9}, At(0));
+  const auto fence = StorePosition(kNextEpoch, 4).Packed();
+  ASSERT_EQ(lease.Next(true, At(5)), OrderLease::Step::kRead);
+  lease.OnRead({InstanceId("b"), fence, false, 9, {}, kNextEpoch}, At(5));
+  EXPECT_EQ(lease.Next(true, At(5.1)), OrderLease::Step::kNothing);
+}
+
 // Guards against a fleet in which no daemon contends: the only remaining
 // daemon, or the previous holder after its restart, must also read the lease.
 TEST(ContentionTest, EveryRegisteredDaemonEventuallyContends) {
--- a/modules/placement/tests/rolling_restart_tests.cc
+++ b/modules/placement/tests/rolling_restart_tests.cc
@@ -145,11 +145,11 @@
     last_fence_ = *fence;
     if (now_ < announced_at_ + kReportInterval) return;
     announced_at_ = now_;
-    const auto revision = daemon.lease->OwnRevision();
+    const auto position = daemon.lease->OwnPosition();
     for (auto& other : daemons_) {
       if (!other.lease) continue;
       other.leader_seen = now_;
-      other.lease->OnRenewalAnnounced(revision, At(now_));
+      other.lease->OnRenewalAnnounced(position, At(now_));
     }
   }
 
