Keep what a restored store lacks until it is written again

Cause: after a restore of the store, upstreams, evacuated zones and registered daemons may be missing although nothing has ended, and an upstream that was leaving or removed may be listed as it was before.

A process that was known to be leaving goes on leaving. A daemon registers again at once and stays ready meanwhile.

--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -54,11 +54,17 @@
   std::function<void(std::shared_ptr<const serving::ServingCatalog>)>
       on_catalog;
   std::function<void(const serving::UpstreamRecord&)> on_upstream;
+  // The same for an entry that may come from a backup of the store, because the
+  // upstream has not written it since the store was restored.
+  std::function<void(const serving::UpstreamRecord&)> on_restored_upstream;
   std::function<void(const UpstreamId&)> on_upstream_gone;
   // All upstreams that are registered now; others are gone.
   std::function<void(const std::set<UpstreamId>&)> on_upstreams_listed;
   std::function<void(std::set<AvailabilityZoneId>)> on_zones_out;
   std::function<void(std::vector<Member>)> on_members;
+  // The store was restored from a backup: what follows is the first list since
+  // then.
+  std::function<void(StoreList)> on_list_restored;
   std::function<void(const Result<void>&)> on_store_contact;
   // A call to the store ended; `call` is its method and result.
   std::function<void(const std::string& call)> on_store_call;
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -12,6 +12,11 @@
 constexpr auto kTick = std::chrono::milliseconds(25);
 constexpr auto kIdleTick = std::chrono::milliseconds(100);
 constexpr auto kOrderInterval = std::chrono::milliseconds(90);
+// How long zones stay taken out, and daemons stay members, when a restored
+// store lacks them. The operator and the daemons write them again within this
+// time. A member that is dropped too early raises the shares of the others.
+constexpr auto kZoneRetention = std::chrono::seconds(3);
+constexpr auto kMemberRetention = std::chrono::seconds(5);
 constexpr auto kSweepInterval = std::chrono::seconds(1);
 // A registration that failed is written again after this time.
 constexpr auto kRegistrationRetry = std::chrono::milliseconds(300);
@@ -75,7 +80,9 @@
                                   context_.metrics.Text());
                }),
       tick_(loop),
-      lapsed_({settings.bounds.sign_of_life}) {
+      lapsed_({settings.bounds.sign_of_life}),
+      zones_out_(kZoneRetention),
+      members_(kMemberRetention) {
   context_.report_now = [this] { fleet_.ReportNow(); };
   context_.catching_up = [this](Timestamp now) {
     return fleet_.CatchingUp(now);
@@ -110,17 +117,24 @@
 }
 
 auto Gateway::Ready() const -> bool {
+  // A registration that a restore of the store has lost is written again, and
+  // the others keep this daemon as a member meanwhile.
+  const bool member =
+      registered_ || members_.Retained(context_.settings.instance);
   return context_.catalog && upstreams_known_ && members_known_ &&
-         zones_known_ && registered_ && !draining_;
+         zones_known_ && member && !draining_;
 }
 
 auto Gateway::Events() -> ControlEvents {
   ControlEvents events;
   events.on_catalog = [this](auto catalog) { OnCatalog(std::move(catalog)); };
   events.on_upstream = [this](const auto& record) {
-    fleet_.Journal().OnChanged(record, link_->positions()[1]);
-    OnUpstream(record);
+    OnEntryRead(record, false);
   };
+  events.on_restored_upstream = [this](const auto& record) {
+    OnEntryRead(record, true);
+  };
+  events.on_list_restored = [this](StoreList list) { OnListRestored(list); };
   events.on_upstream_gone = [this](const auto& id) { OnUpstreamGone(id); };
   events.on_upstream_contact = [this](bool answered) {
     if (answered) fleet_.NoteUpstreamContact(MonotonicNow());
@@ -129,7 +143,7 @@
     OnUpstreamsListed(listed);
   };
   events.on_zones_out = [this](auto zones) { OnZonesOut(std::move(zones)); };
-  events.on_members = [this](auto members) { OnMembers(std::move(members)); };
+  events.on_members = [this](const auto& members) { OnMembers(members); };
   events.on_store_contact = [this](const Result<void>& result) {
     OnStoreContact(result);
   };
@@ -195,6 +209,21 @@
   }
 }
 
+auto Gateway::OnEntryRead(const serving::UpstreamRecord& record,
+                          bool maybe_restored) -> void {
+  const auto usable =
+      restored_upstreams_.OnEntry(record, maybe_restored, MonotonicNow());
+  if (!usable) {
+    context_.log.Write(EventRank::kState, "upstream")
+        .Add("upstream", record.id.Value())
+        .Add("state", "held")
+        .Add("cause", "removed_before_restore");
+    return;
+  }
+  fleet_.Journal().OnChanged(*usable, link_->positions()[1]);
+  OnUpstream(*usable);
+}
+
 auto Gateway::OnUpstream(const serving::UpstreamRecord& record) -> void {
   lapsed_.Forget(record.id);
   const auto known = context_.upstreams.Find(record.id);
@@ -219,6 +248,7 @@
       .Add("upstream", id.Value())
       .Add("state", "gone")
       .Add("cause", cause);
+  restored_upstreams_.OnRemoved(known->record, MonotonicNow());
   context_.connections.Drop(known->record.address);
   context_.upstreams.Remove(id);
 }
@@ -228,8 +258,11 @@
   // While this daemon reads the store itself, that is at least as new.
   if (following_) return;
   for (const auto& record : news.changed) {
-    fleet_.Journal().OnChanged(record, news.position);
-    OnUpstream(record);
+    // The reader of the store has judged it, but may not know that it leaves.
+    const auto usable =
+        restored_upstreams_.OnEntry(record, false, MonotonicNow());
+    fleet_.Journal().OnChanged(*usable, news.position);
+    OnUpstream(*usable);
   }
   for (const auto& id : news.removed) {
     lapsed_.Forget(id);
@@ -239,6 +272,9 @@
 }
 
 auto Gateway::OnUpstreamGone(const UpstreamId& id) -> void {
+  if (restored_upstreams_.OnEntryMissing(id, MonotonicNow())) {
+    return fleet_.SetHoldsBack(true);
+  }
   if (!lapsed_.OnEntryMissing(id, MonotonicNow())) {
     return fleet_.SetHoldsBack(true);
   }
@@ -248,6 +284,7 @@
 auto Gateway::OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void {
   upstreams_known_ = true;
   fleet_.Journal().OnFullListRead(link_->positions()[1]);
+  restored_upstreams_.OnListed(listed);
   std::vector<UpstreamId> missing;
   for (const auto& [id, upstream] : context_.upstreams.All()) {
     if (listed.count(id) == 0) missing.push_back(id);
@@ -257,15 +294,29 @@
 
 auto Gateway::OnZonesOut(std::set<AvailabilityZoneId> zones) -> void {
   zones_known_ = true;
+  std::map<AvailabilityZoneId, std::monostate> listed;
+  for (const auto& zone : zones) listed[zone] = {};
+  zones_out_.Update(std::move(listed), MonotonicNow());
+  ApplyZonesOut();
+}
+
+auto Gateway::ApplyZonesOut() -> void {
+  std::set<AvailabilityZoneId> zones;
   std::string names;
-  for (const auto& zone : zones) names += zone.Value() + " ";
+  std::string retained;
+  for (const auto& [zone, none] : zones_out_.Current()) {
+    zones.insert(zone);
+    names += zone.Value() + " ";
+    if (zones_out_.Retained(zone)) retained += zone.Value() + " ";
+  }
   context_.log.Write(EventRank::kState, "zones_out")
       .Add("zones", names)
+      .Add("retained", retained)
       .Add("source", copies_.Source());
   context_.upstreams.SetDisabledZones(std::move(zones));
 }
 
-auto Gateway::OnMembers(std::vector<Member> members) -> void {
+auto Gateway::OnMembers(const std::vector<Member>& members) -> void {
   members_known_ = true;
   registered_ = false;
   for (const auto& member : members) {
@@ -274,11 +325,63 @@
       registered_ = true;
     }
   }
+  std::map<InstanceId, Member> listed;
+  for (const auto& member : members) listed.insert_or_assign(member.id, member);
+  members_.Update(std::move(listed), MonotonicNow());
+  ApplyMembers();
+  RegisterSelf();
+}
+
+auto Gateway::ApplyMembers() -> void {
+  std::vector<Member> members;
+  std::int64_t retained = 0;
+  for (const auto& [id, member] : members_.Current()) {
+    members.push_back(member);
+    if (!members_.Retained(id)) continue;
+    ++retained;
+    // The revision is of another epoch; it must not remove a new registration.
+    members.back().revision = 0;
+  }
   context_.log.Write(EventRank::kState, "members")
-      .Add("count", static_cast<std::int64_t>(members.size()));
+      .Add("count", static_cast<std::int64_t>(members.size()))
+      .Add("retained", retained);
   fleet_.SetMembers(members);
   copies_.SetMembers(members);
-  RegisterSelf();
+}
+
+auto Gateway::OnListRestored(StoreList list) -> void {
+  const auto now = MonotonicNow();
+  switch (list) {
+    case StoreList::kConfiguration:
+      // A version in force is never replaced by a lower one.
+      return;
+    case StoreList::kUpstreams:
+      return restored_upstreams_.OnRestored(now);
+    case StoreList::kZonesOut:
+      return zones_out_.OnRestored(now);
+    case StoreList::kMembers:
+      // A registration that was written a moment ago may be lost as well.
+      registration_due_ = {};
+      return members_.OnRestored(now);
+  }
+}
+
+auto Gateway::EndRetention(Timestamp now) -> void {
+  for (const auto& id : lapsed_.TakeExpired(now)) {
+    RemoveUpstream(id, "lapsed", link_->positions()[1]);
+  }
+  // While the store does not answer, nothing shows which entries it has.
+  if (!lapsed_.FailingSince()) {
+    for (const auto& id : restored_upstreams_.TakeExpired(now)) {
+      RemoveUpstream(id, "not_written_since_restore", link_->positions()[1]);
+    }
+    for (const auto& record : restored_upstreams_.TakeConfirmed(now)) {
+      fleet_.Journal().OnChanged(record, link_->positions()[1]);
+      OnUpstream(record);
+    }
+  }
+  if (zones_out_.TakeExpired(now)) ApplyZonesOut();
+  if (members_.TakeExpired(now)) ApplyMembers();
 }
 
 auto Gateway::RegisterSelf() -> void {
@@ -390,9 +493,7 @@
   context_.UpdateQuarantine(now);
   context_.RetryParked(now);
   context_.log.Flush(now);
-  for (const auto& id : lapsed_.TakeExpired(now)) {
-    RemoveUpstream(id, "lapsed", link_->positions()[1]);
-  }
+  EndRetention(now);
   if (now - swept_at_ > kSweepInterval) {
     swept_at_ = now;
     context_.connections.Sweep(now);
@@ -404,7 +505,8 @@
     ordered_at_ = now;
     orders_.Tick();
   }
-  fleet_.SetHoldsBack(lapsed_.IsRetaining());
+  fleet_.SetHoldsBack(lapsed_.IsRetaining() ||
+                      restored_upstreams_.DiffersFromList());
   link_->set_backed(fleet_.Backed());
   // A hub that has lost the store itself tells of no changes.
   link_->set_on_demand(fleet_.HasZoneHub() && fleet_.HasNews());
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <variant>
 
 #include "core/core.h"
 #include "daemon/gateway/control_link.h"
@@ -14,6 +15,8 @@
 #include "daemon/gateway/fleet_node.h"
 #include "daemon/gateway/gateway_context.h"
 #include "daemon/gateway/order_desk.h"
+#include "serving/fleet/restore_retention.h"
+#include "serving/fleet/restored_upstreams.h"
 
 namespace dotterellug::gateway {
 
@@ -48,12 +51,22 @@
   auto OnCatalog(std::shared_ptr<const serving::ServingCatalog> catalog)
       -> void;
   auto LogAccountChanges(const serving::ServingCatalog& catalog) -> void;
+  // An entry of an upstream was read from the store. `maybe_restored` is
+  // whether it may come from a backup.
+  auto OnEntryRead(const serving::UpstreamRecord& record, bool maybe_restored)
+      -> void;
   auto OnUpstream(const serving::UpstreamRecord& record) -> void;
   auto OnUpstreamGone(const UpstreamId& id) -> void;
   auto OnUpstreamsListed(const std::set<UpstreamId>& listed) -> void;
   auto OnNews(const fleet::UpstreamChanges& news) -> void;
   auto OnZonesOut(std::set<AvailabilityZoneId> zones) -> void;
-  auto OnMembers(std::vector<Member> members) -> void;
+  auto ApplyZonesOut() -> void;
+  auto OnMembers(const std::vector<Member>& members) -> void;
+  auto ApplyMembers() -> void;
+  // The next list is the first after a restore of the store.
+  auto OnListRestored(StoreList list) -> void;
+  // Ends what is kept or held back for a while after a restore.
+  auto EndRetention(Timestamp now) -> void;
   auto OnStoreContact(const Result<void>& result) -> void;
   auto OnStoreEpoch(const StoreEpochChange& change) -> void;
   // `position` is the store's, at which the removal was read.
@@ -99,6 +112,11 @@
   WallTime ticked_wall_{};
   // What the store's silence means for upstreams whose entries are missing.
   serving::ExpiredUpstreamRetention lapsed_;
+  // What may be missing from a backup of the store, or be in it although it was
+  // removed.
+  serving::RestoredUpstreams restored_upstreams_;
+  serving::RestoreRetention<AvailabilityZoneId, std::monostate> zones_out_;
+  serving::RestoreRetention<InstanceId, Member> members_;
 };
 
 }  // namespace dotterellug::gateway
