Count queued prompts also where all prompts are equally long

Cause: the time per prompt token is fitted from prompts of different lengths. Where all are equally long the fit gives 0, so that prompts waiting for prefill would not count in the choice.

--- a/modules/serving/tests/expected_time_tests.cc
+++ b/modules/serving/tests/expected_time_tests.cc
@@ -186,6 +186,18 @@
   EXPECT_NEAR(ToSeconds(*ranked[0].first_event), 0.7 * (0.070 + 0.150), 0.004);
 }
 
+// Prompts of equal length do not tell how long their prefill takes; queued
+// prompts must count all the same.
+TEST(WorkTimeEstimateTest, QueuedPromptsCountAlsoIfAllAreEquallyLong) {
+  WorkTimeEstimate times;
+  for (int i = 0; i < 20; ++i) {
+    times.ObserveFirstEvent(PoolId("p"), 500, milliseconds(40));
+  }
+  const auto expected = times.Expected(PoolId("p"));
+  EXPECT_TRUE(expected.observed);
+  EXPECT_GE(expected.prefill_1000_tokens, Duration(milliseconds(9)));
+}
+
 // Load: 12 engines of which one third take 2.4 times as long as the others.
 // The choice by load gave slow engines as many requests as fast ones.
 TEST(ExpectedTimeTest, SkewedEngineSpeeds) {
