--- a/client/explain/request_story.cc
+++ b/client/explain/request_story.cc
@@ -14,6 +14,9 @@
 // The same for loads and for the upstreams that it was sent to: a load takes
 // some seconds.
 constexpr std::int64_t kOrdersBeforeMs = 10'000;
+// The same for a restore of the store: what it lost is written again, or given
+// up, within this time.
+constexpr std::int64_t kRestoreBeforeMs = 6000;
 // How far after its last line: what explains a failure is often noticed later.
 constexpr std::int64_t kAfterMs = 2000;
 // Requests at the same upstream that fail within this time of one another have
@@ -30,9 +33,9 @@
 
 auto StateEvents() -> const std::set<std::string>& {
   static const std::set<std::string> events{
-      "started",       "stopping",        "stopped",        "reloaded",
-      "store_lost",    "store_regained",  "hub_chosen",     "loop_stalled",
-      "clock_changed", "config_in_force", "upstream_source"};
+      "started",       "stopping",        "stopped",         "reloaded",
+      "store_lost",    "store_regained",  "hub_chosen",      "loop_stalled",
+      "clock_changed", "config_in_force", "upstream_source", "store_epoch"};
   return events;
 }
 
@@ -232,6 +235,13 @@
       text += "; the daemon itself stood still for " +
               std::to_string(stalled->Number("stalled_ms")) + " ms";
     }
+    const auto* epoch = LastOwn("store_epoch", kRestoreBeforeMs);
+    if (epoch != nullptr && epoch->Number("restored") != 0) {
+      text += "; the store was restored from a backup (epoch " +
+              std::to_string(epoch->Number("after")) + ", noticed " +
+              Before(*epoch) +
+              "), so what was written shortly before may have been missing";
+    }
     if (LastOwn("stopping", 0) != nullptr) {
       text += "; the daemon was being stopped";
     }
--- a/client/tests/explain_tests.cc
+++ b/client/tests/explain_tests.cc
@@ -162,6 +162,25 @@
   EXPECT_TRUE(Contains(log.Cause(), "stood still for 2900 ms"));
 }
 
+// Guards against a failure after a restore of the store that is put down to the
+// upstream alone.
+TEST(RequestStoryTest, NamesARestoreOfTheStore) {
+  const auto story = [](const std::string& epoch) {
+    LogText log;
+    log.Add("d1", 100, "store_epoch", epoch)
+        .Add("d1", 1000, "request_sent", kSent)
+        .Add("d1", 1100, "request_ended",
+             R"("request":"r1","outcome":"failed","cause":"no_connection",)"
+             R"("took_ms":100,"upstream":"u1")");
+    return log.Cause();
+  };
+  EXPECT_TRUE(Contains(story(R"("before":1,"after":2,"restored":1)"),
+                       "the store was restored from a backup (epoch 2"));
+  // The first epoch that a process sees is no restore.
+  EXPECT_EQ(story(R"("before":0,"after":2,"restored":0)").find("restored"),
+            std::string::npos);
+}
+
 TEST(RequestStoryTest, NamesAnUpstreamThatFailedForOthersToo) {
   LogText log;
   log.Add("d1", 100, "upstream", R"("upstream":"u1","state":"live")")
