Restore the store in the fault soak

Cause: no run of the soak lost acknowledged writes of the store.

Change: runs that do not draw planned work only restore the store from backups of the last 6 s: after an outage, within a change, right after one, or twice within a second. The operator then writes the configuration again, and entries of ended upstreams are dropped.

--- a/extras/soak/main.cc
+++ b/extras/soak/main.cc
@@ -20,6 +20,9 @@
 DEFINE_bool(extended_faults, true,
             "Also draw repeated answers, entries of former instances, stops of "
             "two daemons at once and pauses around stops.");
+DEFINE_bool(restores, true,
+            "Also restore the store from backups of the last seconds, in runs "
+            "that do not draw planned work only.");
 DEFINE_string(report, "", "Markdown file for the report; default: none.");
 DEFINE_string(work, "", "Folder for logs; default: a temporary one.");
 
@@ -69,6 +72,7 @@
     plan.early_reloads = FLAGS_early_reloads;
     plan.early_signals = FLAGS_early_signals;
     plan.extended_faults = FLAGS_extended_faults;
+    plan.restores = FLAGS_restores;
     dotterellug::soak::World world(plan);
     const auto ran = world.Run();
     if (!ran) {
--- a/extras/soak/world.cc
+++ b/extras/soak/world.cc
@@ -12,6 +12,7 @@
 
 #include "platform/standins/platform_documents.h"
 #include "platform/standins/upstream_standin.h"
+#include "platform/wire/names.h"
 
 namespace dotterellug::soak {
 namespace {
@@ -37,6 +38,15 @@
 // The system has linked a process by then.
 constexpr Seconds kLinkTime = 0.2;
 constexpr std::uint64_t kPlannedWorkSeeds = 3;
+constexpr Seconds kBackupPause = 0.5;
+constexpr Seconds kOldestBackup = 6;
+constexpr Seconds kRestorePause = 6;
+// Until the operator writes the configuration again.
+constexpr Seconds kOperatorTime = 1.5;
+// The store drops the entry of an upstream that has ended: three heartbeats.
+constexpr Seconds kEntryLifetime = 3.6;
+// Within this time after a restore, what daemons know may be old.
+constexpr Seconds kRestoreEffect = 7;
 // Seeds that are not multiples have a prompt part that ends engines.
 constexpr std::uint64_t kSeedsWithoutBadPart = 2;
 constexpr const char* kBadPart = "badbad01";
@@ -84,6 +94,9 @@
   FaultProxy store_link;
   DaemonProcess process;
   SocketAddress readiness;
+  // From which its settings file is made, and the path of that.
+  platform::DaemonPlace place;
+  std::string settings;
   // A fault of the process is under way.
   bool busy = false;
   // It was told or made to end.
@@ -118,7 +131,9 @@
           loop_, ledger_, [this] { return Now(); }, plan_.seed + 3),
       later_random_(plan_.seed + 4),
       extended_random_(plan_.seed + 5),
+      restore_random_(plan_.seed + 6),
       hostile_(loop_, plan_.seed + 2) {
+  if (plan_.restores) store_.StateEpoch(1);
   callers_.models = kModels;
   callers_.patient_model = kPatientModel;
   callers_.keys = {{"open", "key-open"}, {"limited", "key-limited"}};
@@ -165,6 +180,8 @@
   const platform::DaemonPlace place{name, ip, kZones[index % kZones.size()],
                                     daemon->store_link.Address()};
   std::ofstream(file) << platform::MakeSettingsFile(place);
+  daemon->place = place;
+  daemon->settings = file;
   daemon->readiness = place.Readiness();
   callers_.targets.push_back({place.Callers(), true});
   hostile_.targets.push_back(place.Callers());
@@ -362,6 +379,16 @@
     After(kExtendedFaultPause * 2 * extended_random_.Uniform(), next_extended);
   };
   if (plan_.extended_faults) After(kCalmBegin, next_extended);
+  std::function<void()> next_restore = [&] {
+    if (Now() > faults_end) return;
+    DrawRestore();
+    After(kRestorePause * 2 * restore_random_.Uniform(), next_restore);
+  };
+  // Planned work alone must go unnoticed, which a restore does not.
+  if (plan_.restores && plan_.seed % kPlannedWorkSeeds != 0) {
+    BackUpStore();
+    After(kCalmBegin, next_restore);
+  }
   if (plan_.seed % kSeedsWithoutBadPart != 0) {
     After(kBadPartBegin, [this] { BeginBadPart(); });
   }
@@ -685,6 +712,9 @@
 }
 
 auto World::Restart(std::size_t index) -> void {
+  auto& place = daemons_[index]->place;
+  place.bootstrap = false;
+  std::ofstream(daemons_[index]->settings) << platform::MakeSettingsFile(place);
   if (!daemons_[index]->process.Start()) {
     return After(0.5, [this, index] { Restart(index); });
   }
@@ -715,6 +745,61 @@
   After(duration, [this] { store_.SetFaults({}); });
 }
 
+auto World::BackUpStore() -> void {
+  backups_.emplace_back(Now(), store_.BackUp());
+  while (backups_.front().first < Now() - kOldestBackup) backups_.pop_front();
+  After(kBackupPause, [this] { BackUpStore(); });
+}
+
+auto World::DrawRestore() -> void {
+  // The end of another fault of the store would end the outage.
+  if (store_.Away()) return;
+  const auto backup = backups_[restore_random_.Below(backups_.size())].second;
+  switch (restore_random_.Below(4)) {
+    case 0:
+      Note("store restored within a change", FaultScope::kStore, -1,
+           kRestoreEffect);
+      store_.RestoreAtNextChange(platform::RestorePoint::kWithinChange, backup);
+      break;
+    case 1:
+      Note("store restored after a change", FaultScope::kStore, -1,
+           kRestoreEffect);
+      store_.RestoreAtNextChange(platform::RestorePoint::kAfterResponse,
+                                 backup);
+      break;
+    case 2:
+      Note("store restored twice", FaultScope::kStore, -1, kRestoreEffect);
+      store_.Restore(backup);
+      After(restore_random_.Uniform(),
+            [this, backup] { store_.Restore(backup); });
+      break;
+    default: {
+      Note("store restored after an outage", FaultScope::kStore, -1,
+           kRestoreEffect);
+      platform::StoreFaults away;
+      away.away = true;
+      store_.SetFaults(away);
+      After(restore_random_.Uniform(), [this, backup] {
+        store_.Restore(backup);
+        store_.SetFaults({});
+      });
+      break;
+    }
+  }
+  After(kOperatorTime, [this] { WriteConfiguration(); });
+  const std::string kind(platform::kUpstreamKind);
+  const auto before = store_.Names(kind);
+  After(kEntryLifetime, [this, kind, before, listed = backup.Names(kind)] {
+    for (const auto& name : listed) {
+      const bool lives = std::any_of(
+          upstreams_.begin(), upstreams_.end(), [&](const auto& upstream) {
+            return !upstream->gone && upstream->backend.Plan().id == name;
+          });
+      if (before.count(name) == 0 && !lives) store_.Remove(kind, name);
+    }
+  });
+}
+
 auto World::HarmStoreLinks(std::size_t index, Seconds duration) -> void {
   const auto mode = static_cast<LinkMode>(1 + random_.Below(3));
   if (later_random_.Below(2) == 0) return HarmStoreLink(index, mode, duration);
--- a/extras/soak/world.h
+++ b/extras/soak/world.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,6 +39,8 @@
   // in use, stops of two daemons at once, stops beside an upstream that leaves
   // and pauses around stops.
   bool extended_faults = true;
+  // Also restore the store from backups of the last seconds.
+  bool restores = true;
 };
 
 // One run: daemons as processes of their own, the store and upstreams in this
@@ -117,6 +120,11 @@
   auto BeginReplacement(std::size_t index, bool announced) -> void;
   auto ChangeKeys() -> void;
   // Moves routes to another pool, adds and drops routes, or changes limits.
+  auto BackUpStore() -> void;
+  // Restores the store from a backup: after an outage, within a change, right
+  // after one, or twice within a second. The operator then writes the
+  // configuration again, and the store drops the entries of ended upstreams.
+  auto DrawRestore() -> void;
   auto ChangeConfiguration() -> void;
   // Several changes in quick succession.
   auto BeginConfigurationStorm() -> void;
@@ -140,6 +148,9 @@
   // the seeds kept from earlier runs draw what they drew.
   Random later_random_;
   Random extended_random_;
+  Random restore_random_;
+  // Backups of the last seconds, with their times.
+  std::deque<std::pair<Seconds, platform::StoreStandin::Backup>> backups_;
   HostileCallers hostile_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
   // Those that have left stay, since requests may still run there.
