Check fencing numbers of one holder in the soak

Cause: the soak compared fencing numbers of different holders only. A holder that acquires the lease again after a restore may take a lower one.

Change: no engine may accept an order with a lower fencing number than one before. The test of readers of the change log also plays restores, and the codec's positions of two epochs are tested.

--- a/extras/soak/ledger.cc
+++ b/extras/soak/ledger.cc
@@ -279,6 +279,19 @@
     }
     last = &order;
   }
+  // An engine that has seen a fencing number is sent no lower one, also not by
+  // the same holder after it has acquired the lease again.
+  std::map<std::string, std::int64_t> highest;
+  for (const auto& order : sorted) {
+    auto& seen = highest[order.engine];
+    if (order.fence < seen) {
+      lines.push_back("the fencing number of " + order.holder + " at " +
+                      order.engine + " went down to " +
+                      std::to_string(order.fence) + " from " +
+                      std::to_string(seen));
+    }
+    seen = std::max(seen, order.fence);
+  }
 }
 
 auto Ledger::HasRemovedKey(const CallRecord& call) const -> bool {
--- a/extras/soak/tests/ledger_tests.cc
+++ b/extras/soak/tests/ledger_tests.cc
@@ -341,5 +341,15 @@
   EXPECT_EQ(ledger.Broken(kEnd).size(), 1U);
 }
 
+// Guards against a holder that takes a fencing number again after the store was
+// restored: its own orders then have a lower one than before.
+TEST(LedgerRunsTest, FindsAFencingNumberThatGoesDown) {
+  Ledger ledger;
+  ledger.orders = {{"engines-1", "d1", 7, 1}, {"engines-2", "d1", 5, 2}};
+  EXPECT_TRUE(ledger.Broken(kEnd).empty());
+  ledger.orders.push_back({"engines-1", "d1", 6, 3});
+  EXPECT_EQ(ledger.Broken(kEnd).size(), 1U);
+}
+
 }  // namespace
 }  // namespace dotterellug::soak
--- a/modules/fleet/tests/fleet_tests.cc
+++ b/modules/fleet/tests/fleet_tests.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -529,12 +530,20 @@
     change_log.OnFullListRead(10);
     std::map<UpstreamId, bool> written;
     std::map<UpstreamId, bool> read;
-    std::int64_t position = 10;
-    std::int64_t store = 10;
+    StorePosition position = 10;
+    StorePosition store = 10;
     for (int i = 0; i < 400; ++i) {
       const auto name = "u" + std::to_string(random.Below(40));
       // Several changes can share one position.
-      if (random.Below(3) != 0) ++store;
+      if (random.Below(3) != 0) ++store.revision;
+      // The store is restored from a backup, and its revisions go back.
+      if (random.Below(40) == 0) {
+        store = {
+            store.epoch.Next(),
+            std::max<std::int64_t>(
+                store.revision - static_cast<std::int64_t>(random.Below(20)),
+                1)};
+      }
       if (random.Below(4) == 0) {
         change_log.OnRemoved(UpstreamId(name), store);
         written.erase(UpstreamId(name));
@@ -546,7 +555,7 @@
       if (random.Below(8) != 0) continue;
       // A reader sees a position only after the writer has recorded all changes
       // at it.
-      ++store;
+      ++store.revision;
       const auto batch = change_log.Since(position);
       RC_ASSERT(!batch.relist_required);
       for (const auto& record : batch.changed) read[record.id] = record.leaving;
@@ -563,6 +572,30 @@
   }));
 }
 
+// Guards against positions of two epochs that change their order in a message.
+TEST(UpstreamChangeLogTest, PositionsOfALaterEpochSurviveTheCodec) {
+  const StorePosition before(StoreEpoch(1), 900);
+  const StorePosition after(StoreEpoch(2), 3);
+  FleetSummary summary;
+  summary.store_positions = {before, after};
+  summary.changes.position = after;
+  summary.lease_position = after;
+  const auto read = DecodeFleetMessage(EncodeFleetMessage(summary));
+  ASSERT_TRUE(read);
+  const auto& copy = std::get<FleetSummary>(*read);
+  EXPECT_EQ(copy.store_positions, summary.store_positions);
+  EXPECT_EQ(copy.changes.position, after);
+  EXPECT_EQ(copy.lease_position, after);
+  FleetReport report;
+  report.upstream_position = after;
+  report.store_positions = {before, after};
+  const auto read_report = DecodeFleetMessage(EncodeFleetMessage(report));
+  ASSERT_TRUE(read_report);
+  const auto& report_copy = std::get<FleetReport>(*read_report);
+  EXPECT_EQ(report_copy.upstream_position, after);
+  EXPECT_EQ(report_copy.store_positions, report.store_positions);
+}
+
 TEST(UpstreamChangeLogTest, RequiresRelistForUncoveredPosition) {
   UpstreamChangeLog change_log;
   EXPECT_FALSE(change_log.Since(5).relist_required);
