Bound the memory and descriptors that clients cause

Cause: clients with endless trailers or chunk extensions, stalled bodies and many large bodies brought a daemon beyond the memory of its instance. A body was kept twice while it was sent. Trailers took effect as fields of the head.

An announced body is charged when its head has been read; a request that does not fit is refused with 503 and Retry-After, after stalled clients have been evicted. Addresses and accounts have a part each. Chunk headers and trailers are bounded, trailers are dropped. Attempts share the body instead of copying it.

--- a/daemon/gateway/dialect.h
+++ b/daemon/gateway/dialect.h
@@ -57,9 +57,9 @@
   // Fails with kInvalidArgument for a request that cannot be understood.
   std::function<Result<serving::ServiceRequest>(const eventhttp::RequestHead&)>
       decode_request;
-  // The bytes of an attempt: head and body.
+  // The head of an attempt, after which a body of `body_bytes` is sent.
   std::function<std::string(const eventhttp::RequestHead&,
-                            const std::string& body, const AttemptFields&)>
+                            std::size_t body_bytes, const AttemptFields&)>
       encode_attempt;
   std::function<UpstreamAnswer(const eventhttp::ResponseHead&, const RequestId&,
                                const UpstreamId&)>
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -77,6 +77,10 @@
                }),
       tick_(loop),
       lapsed_({settings.bounds.sign_of_life}) {
+  callers_.SetOverloadLimits(context_.memory, settings.client_overload);
+  callers_.OnRefusal([this](auto refusal, const std::string& client) {
+    context_.CountRefusal(refusal, client);
+  });
   context_.report_now = [this] { fleet_.ReportNow(); };
   context_.catching_up = [this](Timestamp now) {
     return fleet_.CatchingUp(now);
@@ -335,6 +339,15 @@
   metrics.Set(GatewayLevel::kRestrictedUpstreams,
               static_cast<double>(
                   context_.upstreams.Backpressure().RestrictedCount(now)));
+  for (std::size_t i = 0; i < eventhttp::kMemoryUses; ++i) {
+    const auto use = static_cast<eventhttp::MemoryUse>(i);
+    metrics.SetMemory(eventhttp::MemoryUseName(use),
+                      static_cast<double>(context_.memory->Used(use)));
+  }
+  metrics.Set(GatewayLevel::kMemoryLimit,
+              static_cast<double>(context_.memory->Limits().total));
+  metrics.Set(GatewayLevel::kClientConnections,
+              static_cast<double>(callers_.OpenSessions()));
   const auto& upstreams = context_.upstreams.All();
   metrics.Set(GatewayLevel::kAvoidedUpstreams,
               static_cast<double>(std::count_if(
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -85,6 +85,8 @@
                own_settings.bounds.repeat_slack,
                own_settings.bounds.repeat_window}),
       connections(event_loop, {}),
+      memory(std::make_shared<eventhttp::MemoryAccount>(
+          own_settings.client_memory)),
       random(seed),
       started_at(MonotonicNow()),
       log_timer(event_loop) {
@@ -151,6 +153,16 @@
   }
 }
 
+auto GatewayContext::CountRefusal(eventhttp::ClientRefusal refusal,
+                                  const std::string& client) -> void {
+  const auto* reason = eventhttp::ClientRefusalName(refusal);
+  metrics.Count(GatewayCounter::kClientRefusals, reason);
+  log.Write(EventRank::kFailure, "client_refused")
+      .Add("reason", reason)
+      .Add("client", client)
+      .Add("memory_bytes", static_cast<std::int64_t>(memory->Used()));
+}
+
 auto GatewayContext::LogBrokenRequests() -> void {
   for (auto* exchange : *open_requests) exchange->LogProcessStopped();
 }
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -44,6 +44,10 @@
   auto UpdateQuarantine(Timestamp now) -> void;
   // Logs and acts on what has changed in what upstreams ask for.
   auto UpdateBackpressure(Timestamp now) -> void;
+  // Counts and logs a client that is refused to protect the memory or the
+  // descriptors of the instance. `client` is its address or its account.
+  auto CountRefusal(eventhttp::ClientRefusal refusal, const std::string& client)
+      -> void;
   // Logs each request whose answer the end of the process breaks off.
   auto LogBrokenRequests() -> void;
 
@@ -62,6 +66,8 @@
   fleet::GrantedTokens granted_tokens;
   fleet::UpstreamPermits permits{granted_tokens, upstreams.Backpressure()};
   eventhttp::ConnectionPool connections;
+  // What clients cause in memory, for all of this process.
+  std::shared_ptr<eventhttp::MemoryAccount> memory;
   Random random;
 
   quarantine::PromptQuarantine quarantine;
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 9> kCounters{{
+const std::array<Name, 10> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -44,9 +44,12 @@
     {"dotterellug_gateway_upstream_avoidances_total", "reason",
      "Decisions to avoid an upstream, or a model there, for a bounded time "
      "because of an answer."},
+    {"dotterellug_gateway_client_refusals_total", "reason",
+     "Clients refused to protect the memory or the descriptors of the "
+     "instance."},
 }};
 
-const std::array<Name, 13> kLevels{{
+const std::array<Name, 15> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -74,8 +77,15 @@
     {"dotterellug_gateway_avoided_upstreams", "",
      "Upstreams that are avoided for a moment because their answers said that "
      "requests were misdirected."},
+    {"dotterellug_gateway_client_memory_limit_bytes", "",
+     "Bound on the memory that clients cause; 0 for none."},
+    {"dotterellug_gateway_client_connections", "",
+     "Open connections of callers."},
 }};
 
+const Name kMemory{"dotterellug_gateway_client_memory_bytes", "use",
+                   "Memory that clients cause, by its use."};
+
 const std::array<Name, 4> kLatencies{{
     {"dotterellug_gateway_first_answer_seconds", "account",
      "Time from arrival to the first event of a stream or to a whole answer."},
@@ -116,6 +126,10 @@
                         .Register(registry_)
                         .Add({});
     }
+    memory_.family = &prometheus::BuildGauge()
+                          .Name(kMemory.name)
+                          .Help(kMemory.help)
+                          .Register(registry_);
     for (std::size_t i = 0; i < kLatencies.size(); ++i) {
       latencies_[i].family = &prometheus::BuildHistogram()
                                   .Name(kLatencies[i].name)
@@ -135,6 +149,13 @@
     levels_[index]->Set(value);
   }
 
+  auto SetMemory(std::string_view use, double bytes) -> void {
+    const auto add = [&](const std::string& bounded) {
+      return &memory_.family->Add({{kMemory.label, bounded}});
+    };
+    Find(memory_.series, use, add)->Set(bytes);
+  }
+
   auto Observe(std::size_t index, std::string_view value, Duration duration)
       -> void {
     const auto add = [&](const std::string& bounded) {
@@ -170,6 +191,7 @@
   prometheus::Registry registry_;
   std::array<Family<prometheus::Counter>, kCounters.size()> counters_;
   std::array<prometheus::Gauge*, kLevels.size()> levels_{};
+  Family<prometheus::Gauge> memory_;
   std::array<Family<prometheus::Histogram>, kLatencies.size()> latencies_;
 };
 
@@ -187,6 +209,10 @@
   implementation_->Set(static_cast<std::size_t>(level), value);
 }
 
+auto GatewayMetrics::SetMemory(std::string_view use, double bytes) -> void {
+  implementation_->SetMemory(use, bytes);
+}
+
 auto GatewayMetrics::Observe(GatewayLatency latency, std::string_view value,
                              Duration duration) -> void {
   implementation_->Observe(static_cast<std::size_t>(latency), value, duration);
@@ -198,13 +224,14 @@
 
 auto GatewayMetrics::Descriptions() -> std::vector<MetricDescription> {
   std::vector<MetricDescription> all;
-  all.reserve(kCounters.size() + kLevels.size() + kLatencies.size());
+  all.reserve(kCounters.size() + kLevels.size() + kLatencies.size() + 1);
   for (const auto& name : kCounters) {
     all.push_back(Describe(name, MetricKind::kCounter));
   }
   for (const auto& name : kLevels) {
     all.push_back(Describe(name, MetricKind::kGauge));
   }
+  all.push_back(Describe(kMemory, MetricKind::kGauge));
   for (const auto& name : kLatencies) {
     all.push_back(Describe(name, MetricKind::kHistogram));
   }
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -21,6 +21,7 @@
   kCopyFetches,
   kDroppedLines,
   kAvoidances,
+  kClientRefusals,
 };
 
 // What a gateway states as it is now.
@@ -38,6 +39,8 @@
   kQuarantinedParts,
   kRestrictedUpstreams,
   kAvoidedUpstreams,
+  kMemoryLimit,
+  kClientConnections,
 };
 
 // Durations of requests, as histograms.
@@ -65,6 +68,8 @@
   auto Count(GatewayCounter counter, std::string_view value, double amount = 1)
       -> void;
   auto Set(GatewayLevel level, double value) -> void;
+  // Sets the bytes that clients cause for a use.
+  auto SetMemory(std::string_view use, double bytes) -> void;
   // `value` is the account or the route; beyond a number of different ones it
   // is counted as "other".
   auto Observe(GatewayLatency latency, std::string_view value,
--- a/daemon/gateway/gateway_settings.h
+++ b/daemon/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "core/core.h"
+#include "eventhttp/eventhttp.h"
 
 namespace dotterellug::gateway {
 
@@ -39,6 +40,10 @@
   SocketAddress peers;
   SocketAddress metrics;
   GatewayBounds bounds;
+  // Bounds on what clients may cause. Without bounds of the instance in the
+  // settings, neither memory nor connections are bounded.
+  eventhttp::MemoryLimits client_memory;
+  eventhttp::OverloadLimits client_overload;
 };
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -128,6 +128,7 @@
     : context_(context),
       session_(std::move(session)),
       http_(std::move(request)),
+      body_(std::make_shared<const std::string>(std::move(http_.body))),
       arrival_(http_.received_at),
       trace_(context, arrival_),
       timer_(context.loop),
@@ -189,6 +190,15 @@
     account_ = account->id;
     priority_ = account->priority.value_or(priority_);
   }
+  // A body that is charged to its client's address counts for the account too,
+  // whose callers may have many addresses.
+  if (!body_->empty() && account != nullptr && http_.memory &&
+      !http_.memory->TryAddHolder("account " + account_.Value())) {
+    context_.CountRefusal(eventhttp::ClientRefusal::kHolderMemory,
+                          account_.Value());
+    Refuse(503, "account_memory", ReturnDelay());
+    return false;
+  }
   const auto max_wait = request_.max_wait.value_or(route_->timeout);
   deadline_ = arrival_ + std::min(max_wait, route_->timeout);
   return true;
@@ -602,8 +612,8 @@
   };
   ArmTimer();
   attempt_->connection->Exchange(
-      context_.dialect.encode_attempt(http_.head, http_.body, fields),
-      std::move(handlers), http_.head.method != "HEAD");
+      context_.dialect.encode_attempt(http_.head, body_->size(), fields),
+      std::move(handlers), http_.head.method != "HEAD", body_);
 }
 
 auto RequestExchange::ArmTimer() -> void {
@@ -1072,6 +1082,8 @@
   if (done_) return;
   done_ = true;
   waiting_ = Waiting::kNothing;
+  body_ = nullptr;
+  http_.memory = nullptr;
   timer_.cancel();
   open_requests_->erase(this);
   session_->OnGone(nullptr);
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -198,6 +198,9 @@
   GatewayContext& context_;
   std::shared_ptr<eventhttp::ServerSession> session_;
   eventhttp::ServerRequest http_;
+  // The body of `http_`, shared with the attempts that send it. Its memory is
+  // charged until the request ends.
+  std::shared_ptr<const std::string> body_;
   serving::ServiceRequest request_;
   // Keeps the configuration that decided the request, and its route.
   std::shared_ptr<const serving::ServingCatalog> catalog_;
--- a/modules/eventhttp/client/client_connection.cc
+++ b/modules/eventhttp/client/client_connection.cc
@@ -82,8 +82,11 @@
     : socket_(loop), address_(std::move(address)) {}
 
 auto ClientConnection::Exchange(std::string request, ExchangeHandlers handlers,
-                                bool expect_body) -> void {
+                                bool expect_body,
+                                std::shared_ptr<const std::string> body)
+    -> void {
   request_ = std::move(request);
+  body_ = std::move(body);
   handlers_ = std::make_shared<ExchangeHandlers>(std::move(handlers));
   on_lost_ = nullptr;
   expect_body_ = expect_body;
@@ -136,8 +139,12 @@
 }
 
 auto ClientConnection::Send() -> void {
-  boost::asio::async_write(socket_, boost::asio::buffer(request_),
-                           [self = shared_from_this()](
+  auto body = std::exchange(body_, nullptr);
+  const std::array<boost::asio::const_buffer, 2> buffers{
+      boost::asio::buffer(request_),
+      body ? boost::asio::buffer(*body) : boost::asio::const_buffer()};
+  boost::asio::async_write(socket_, buffers,
+                           [self = shared_from_this(), body = std::move(body)](
                                boost::system::error_code error, std::size_t) {
                              // A failed write shows as the end of the input,
                              // after whatever the server answered before it
@@ -292,7 +299,7 @@
     Close();
   }
   const auto handlers = std::exchange(handlers_, nullptr);
-  request_.shrink_to_fit();
+  if (request_sent_) std::string().swap(request_);
   handlers->on_end(end);
 }
 
@@ -332,6 +339,7 @@
   if (closed_) return;
   closed_ = true;
   reusable_ = false;
+  body_ = nullptr;
   boost::system::error_code ignored;  // The descriptor is released anyway.
   socket_.close(ignored);
 }
--- a/modules/eventhttp/client/client_connection.h
+++ b/modules/eventhttp/client/client_connection.h
@@ -47,9 +47,11 @@
   ClientConnection(boost::asio::io_context& loop, SocketAddress address);
 
   // Sends `request`, head and body, and reads the response. Connects first if
-  // the connection is new. `expect_body` is false for HEAD.
+  // the connection is new. `expect_body` is false for HEAD. A large body is
+  // shared as `body`, which is sent after `request`, instead of copied.
   auto Exchange(std::string request, ExchangeHandlers handlers,
-                bool expect_body = true) -> void;
+                bool expect_body = true,
+                std::shared_ptr<const std::string> body = nullptr) -> void;
   // Closes the connection; no handler is called afterwards. An exchange that is
   // under way is given up: the connection is reset.
   auto Cancel() -> void;
@@ -103,6 +105,8 @@
   boost::asio::ip::tcp::socket socket_;
   SocketAddress address_;
   std::string request_;
+  // Until it is sent; may be null.
+  std::shared_ptr<const std::string> body_;
   std::string input_;
   std::optional<ResponseParser> parser_;
   // Shared with the function that calls a handler, since the handler may cancel
--- a/modules/eventhttp/eventhttp.h
+++ b/modules/eventhttp/eventhttp.h
@@ -9,6 +9,7 @@
 #include "eventhttp/client/buffered_call.h"
 #include "eventhttp/client/client_connection.h"
 #include "eventhttp/client/connection_pool.h"
+#include "eventhttp/memory/memory_account.h"
 #include "eventhttp/message/head.h"
 #include "eventhttp/message/header_fields.h"
 #include "eventhttp/message/message_parser.h"
--- a/modules/eventhttp/message/message_parser.h
+++ b/modules/eventhttp/message/message_parser.h
@@ -42,6 +42,34 @@
     return used;
   }
 
+  // Bounds of what frames a chunked body, in bytes. Beyond them the message is
+  // an error.
+  struct FramingLimits {
+    // One chunk header with its extensions.
+    std::size_t chunk_header = 4'096;
+    // All trailers together.
+    std::size_t trailers = 16'384;
+  };
+  auto SetFramingLimits(const FramingLimits& limits) -> void {
+    framing_limits_ = limits;
+  }
+  // Whether `unparsed`, the input that Feed left, is within the bounds. The
+  // parser itself asks for more input until a chunk header, or all trailers,
+  // are complete.
+  auto UnparsedWithinLimits(std::string_view unparsed) const -> bool {
+    if (!head_accepted_) return true;
+    // The line end after the data of the chunk before.
+    if (unparsed.substr(0, 2) == "\r\n") unparsed.remove_prefix(2);
+    const auto line_end = unparsed.find('\n');
+    const bool complete = line_end != std::string_view::npos;
+    if ((complete ? line_end : unparsed.size()) >
+        framing_limits_.chunk_header) {
+      return false;
+    }
+    return !complete ||
+           unparsed.size() - line_end - 1 <= framing_limits_.trailers;
+  }
+
   // Whether the head has been read whole and is valid.
   auto HeadAccepted() const -> bool { return head_accepted_; }
   // The head, complete when HeadAccepted() is true.
@@ -51,6 +79,9 @@
   // The body bytes since the last call.
   auto TakeBody() -> std::string { return std::move(body_); }
   auto Body() const -> const std::string& { return body_; }
+  // Makes room for so many bytes of the body.
+  auto ReserveBody(std::size_t bytes) -> void { body_.reserve(bytes); }
+  auto BodyCapacity() const -> std::size_t { return body_.capacity(); }
 
  private:
   using View = boost::beast::string_view;
@@ -85,8 +116,19 @@
       head_.reason = Text(reason);
     }
   }
-  auto on_field_impl(boost::beast::http::field, View name, View value, Error&)
-      -> void override {
+  // Trailers come here as well. They are dropped: a field that is only valid in
+  // a head, such as one that authenticates, must not take effect after the
+  // body.
+  auto on_field_impl(boost::beast::http::field, View name, View value,
+                     Error& error) -> void override {
+    if (head_accepted_) {
+      constexpr std::size_t kSeparators = 4;
+      trailer_bytes_ += name.size() + value.size() + kSeparators;
+      if (trailer_bytes_ > framing_limits_.trailers) {
+        error = boost::beast::http::error::header_limit;
+      }
+      return;
+    }
     framing_.Add({name.data(), name.size()}, {value.data(), value.size()});
     head_.fields.push_back({Text(name), Text(value)});
   }
@@ -104,7 +146,12 @@
     body_.append(piece.data(), piece.size());
     return piece.size();
   }
-  auto on_chunk_header_impl(std::uint64_t, View, Error&) -> void override {}
+  auto on_chunk_header_impl(std::uint64_t, View extensions, Error& error)
+      -> void override {
+    if (extensions.size() > framing_limits_.chunk_header) {
+      error = boost::beast::http::error::bad_chunk_extension;
+    }
+  }
   auto on_chunk_body_impl(std::uint64_t, View piece, Error&)
       -> std::size_t override {
     body_.append(piece.data(), piece.size());
@@ -114,6 +161,8 @@
 
   std::conditional_t<kIsRequest, RequestHead, ResponseHead> head_;
   BodyFraming framing_;
+  FramingLimits framing_limits_;
+  std::size_t trailer_bytes_ = 0;
   // 10 for HTTP/1.0, 11 for HTTP/1.1.
   int version_ = 0;
   bool head_accepted_ = false;
--- a/modules/eventhttp/server/http_server.cc
+++ b/modules/eventhttp/server/http_server.cc
@@ -1,5 +1,6 @@
 #include "eventhttp/server/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <utility>
 
@@ -18,6 +19,22 @@
 
 }  // namespace
 
+auto ClientRefusalName(ClientRefusal refusal) -> const char* {
+  switch (refusal) {
+    case ClientRefusal::kNoMemory:
+      return "no_memory";
+    case ClientRefusal::kHolderMemory:
+      return "holder_memory";
+    case ClientRefusal::kEvicted:
+      return "evicted";
+    case ClientRefusal::kChunkFraming:
+      return "chunk_framing";
+    case ClientRefusal::kTooManyConnections:
+      return "too_many_connections";
+  }
+  return "no_memory";
+}
+
 HttpServer::HttpServer(boost::asio::io_context& loop, Handler handler)
     : loop_(loop),
       acceptor_(loop),
@@ -91,6 +108,14 @@
 }
 
 auto HttpServer::StartSession(boost::asio::ip::tcp::socket socket) -> void {
+  if (!RoomForConnection()) {
+    boost::system::error_code error;
+    const auto client = socket.remote_endpoint(error);
+    NoteRefusal(ClientRefusal::kTooManyConnections,
+                error ? "" : client.address().to_string());
+    // Closed unread, which resets it: there is no room to wait for its request.
+    return;
+  }
   ApplySocketOptions(socket, kCallerSocketTimeouts);
   auto session = std::make_shared<ServerSession>(*this, std::move(socket));
   sessions_.insert(session);
@@ -107,6 +132,46 @@
   return error;
 }
 
+auto HttpServer::EvictUntil(const ServerSession& needs_room,
+                            const std::string& client,
+                            const std::function<bool()>& enough) -> bool {
+  if (enough()) return true;
+  const auto now = MonotonicNow();
+  std::vector<std::pair<Timestamp, std::shared_ptr<ServerSession>>> stalled;
+  for (const auto& session : sessions_) {
+    if (session.get() == &needs_room) continue;
+    if (!client.empty() && session->Client() != client) continue;
+    if (const auto since = session->StalledSince(now)) {
+      stalled.emplace_back(*since, session);
+    }
+  }
+  std::sort(stalled.begin(), stalled.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [since, session] : stalled) {
+    session->Evict();
+    if (enough()) return true;
+  }
+  return false;
+}
+
+auto HttpServer::RoomForConnection() -> bool {
+  const auto room = [this] {
+    return overload_.connections == 0 ||
+           sessions_.size() < overload_.connections;
+  };
+  if (room()) return true;
+  const auto now = MonotonicNow();
+  std::shared_ptr<ServerSession> longest;
+  for (const auto& session : sessions_) {
+    const auto since = session->UselessSince(now);
+    if (!since) continue;
+    if (!longest || *since < *longest->UselessSince(now)) longest = session;
+  }
+  if (!longest) return false;
+  longest->Discard();
+  return room();
+}
+
 auto HttpServer::Sweep() -> void {
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](boost::system::error_code error) {
--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <charconv>
 #include <cstdio>
 #include <utility>
 
@@ -26,13 +27,32 @@
   return scratch;
 }
 
+// Buffers that held more are released when they are empty.
+constexpr std::size_t kKeptBuffer = 16'384;
+
+auto ReleaseIfLarge(std::string& buffer) -> void {
+  if (buffer.empty() && buffer.capacity() > kKeptBuffer)
+    std::string().swap(buffer);
+}
+
+auto ClientAddress(const boost::asio::ip::tcp::socket& socket) -> std::string {
+  boost::system::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  return error ? std::string() : endpoint.address().to_string();
+}
+
 }  // namespace
 
 ServerSession::ServerSession(HttpServer& server,
                              boost::asio::ip::tcp::socket socket)
     : server_(server),
       socket_(std::move(socket)),
-      state_since_(MonotonicNow()) {}
+      state_since_(MonotonicNow()),
+      client_(ClientAddress(socket_)),
+      input_memory_(server.memory_, MemoryUse::kHead),
+      framing_memory_(server.memory_, MemoryUse::kFraming),
+      output_memory_(server.memory_, MemoryUse::kUnsentResponse),
+      progress_at_(state_since_) {}
 
 auto ServerSession::Start() -> void { WaitForInput(); }
 
@@ -56,8 +76,10 @@
   if (error == boost::asio::error::would_block) return WaitForInput();
   if (error) return HandleEnd();
   if (state_ == State::kLingering) return WaitForInput();
+  if (!ReserveMoreBody(count)) return WaitForInput();
   input_.append(scratch.data(), count);
   if (state_ != State::kAnswering) ParseInput();
+  ChargeBuffers();
   WaitForInput();
 }
 
@@ -86,15 +108,29 @@
     parser_->header_limit(
         static_cast<std::uint32_t>(server_.Limits().header_bytes));
     parser_->body_limit(server_.Limits().body_bytes);
+    parser_->SetFramingLimits({server_.overload_.chunk_header_bytes,
+                               server_.overload_.trailer_bytes});
     continue_sent_ = false;
+    body_memory_ = nullptr;
   }
   boost::beast::error_code error;
+  const auto body_before = parser_->Body().size();
   const auto used = parser_->Feed(input_, error);
   input_.erase(0, used);
+  ReleaseIfLarge(input_);
+  if (const auto more = parser_->Body().size() - body_before; more > 0) {
+    body_bytes_ += more;
+    progress_at_ = MonotonicNow();
+  }
   if (input_before_close_) {
     *input_before_close_ -= std::min(used, *input_before_close_);
   }
   if (error) return RejectInput(error);
+  if (!parser_->UnparsedWithinLimits(input_)) {
+    server_.NoteRefusal(ClientRefusal::kChunkFraming, client_);
+    return RespondUnread(400, {});
+  }
+  if (parser_->HeadAccepted() && !body_memory_ && !ReserveBody()) return;
   if (!parser_->is_done()) {
     const auto* expect = parser_->HeadAccepted()
                              ? FindField(parser_->Head().fields, "Expect")
@@ -110,6 +146,9 @@
   request.head = std::move(parser_->Head());
   request.body = parser_->TakeBody();
   request.received_at = MonotonicNow();
+  body_memory_->Set(request.body.capacity());
+  body_memory_->ChangeUse(MemoryUse::kKeptBody);
+  request.memory = std::exchange(body_memory_, nullptr);
   parser_.reset();
   state_ = State::kAnswering;
   head_request_ = request.head.method == "HEAD";
@@ -117,6 +156,122 @@
   server_.handler_(shared_from_this(), std::move(request));
 }
 
+// Called once for each request, when its head has been read.
+auto ServerSession::ReserveBody() -> bool {
+  body_memory_ =
+      std::make_shared<MemoryCharge>(server_.memory_, MemoryUse::kReceivedBody);
+  body_began_at_ = progress_at_ = MonotonicNow();
+  body_bytes_ = parser_->Body().size();
+  body_announced_ = false;
+  if (parser_->is_done() && parser_->Body().empty()) return true;
+  // Without bytes it exceeds no part.
+  body_memory_->TryAddHolder(client_);
+  std::size_t bytes = parser_->BodyCapacity();
+  const auto* length = FindField(parser_->Head().fields, "Content-Length");
+  if (length != nullptr) {
+    // The parser has accepted it as a number within the limit.
+    std::size_t announced = 0;
+    std::from_chars(length->data(), length->data() + length->size(), announced);
+    bytes = std::max(bytes, announced);
+    body_announced_ = true;
+  }
+  if (!TryCharge(*body_memory_, bytes)) {
+    RefuseForMemory(*body_memory_);
+    return false;
+  }
+  // Pages are used only when they are written to.
+  if (body_announced_) parser_->ReserveBody(bytes);
+  return true;
+}
+
+// The parser collects the bytes of a body with chunks in a buffer that doubles.
+auto ServerSession::ReserveMoreBody(std::size_t input) -> bool {
+  if (state_ != State::kReading || !body_memory_ || body_announced_)
+    return true;
+  const auto needed = parser_->Body().size() + input_.size() + input;
+  auto room = parser_->BodyCapacity();
+  if (needed <= room) return true;
+  room = std::min<std::size_t>(
+      std::max(needed, 2 * room),
+      server_.Limits().body_bytes + input_.size() + input);
+  if (!TryCharge(*body_memory_, room)) {
+    RefuseForMemory(*body_memory_);
+    return false;
+  }
+  parser_->ReserveBody(room);
+  return true;
+}
+
+auto ServerSession::TryCharge(MemoryCharge& charge, std::size_t bytes) -> bool {
+  const auto enough = [&] { return charge.TrySet(bytes); };
+  // Room that others give up does not help a client that has its part.
+  const auto more = bytes - std::min(bytes, charge.Bytes());
+  if (charge.ExceedsHolder(more)) {
+    return server_.EvictUntil(*this, client_, enough);
+  }
+  return server_.EvictUntil(*this, "", enough);
+}
+
+auto ServerSession::RefuseForMemory(const MemoryCharge& charge) -> void {
+  const bool holder = charge.ExceedsHolder(1);
+  server_.NoteRefusal(
+      holder ? ClientRefusal::kHolderMemory : ClientRefusal::kNoMemory,
+      client_);
+  const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(server_.overload_.retry_after);
+  RespondUnread(503, {{"Retry-After", std::to_string(seconds.count())}});
+}
+
+auto ServerSession::ChargeBuffers() -> void {
+  const bool body = state_ == State::kReading && body_memory_ != nullptr;
+  input_memory_.Set(body ? 0 : input_.capacity());
+  framing_memory_.Set(body ? input_.capacity() : 0);
+  output_memory_.Set(output_.capacity() + writing_.capacity());
+}
+
+auto ServerSession::StalledSince(Timestamp now) const
+    -> std::optional<Timestamp> {
+  const auto& overload = server_.overload_;
+  const bool receives = state_ == State::kReading && body_memory_ != nullptr;
+  const bool sends = UnsentBytes() > 0;
+  if (!receives && !sends) return std::nullopt;
+  if (now - progress_at_ > overload.stall_time) return progress_at_;
+  if (!receives || now - body_began_at_ <= 2 * overload.stall_time) {
+    return std::nullopt;
+  }
+  const auto rate =
+      static_cast<double>(body_bytes_) / ToSeconds(now - body_began_at_);
+  if (rate >= overload.least_body_rate) return std::nullopt;
+  return body_began_at_;
+}
+
+auto ServerSession::UselessSince(Timestamp now) const
+    -> std::optional<Timestamp> {
+  if (state_ == State::kLingering) return state_since_;
+  if (state_ == State::kIdle && !Busy()) return state_since_;
+  if (state_ == State::kReading && now - std::max(progress_at_, state_since_) >
+                                       server_.overload_.stall_time) {
+    return state_since_;
+  }
+  return StalledSince(now);
+}
+
+auto ServerSession::Evict() -> void {
+  server_.NoteRefusal(ClientRefusal::kEvicted, client_);
+  if (state_ == State::kReading) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(server_.overload_.retry_after);
+    return RespondUnread(503,
+                         {{"Retry-After", std::to_string(seconds.count())}});
+  }
+  HandleEnd();
+}
+
+auto ServerSession::Discard() -> void {
+  server_.NoteRefusal(ClientRefusal::kEvicted, client_);
+  HandleEnd();
+}
+
 auto ServerSession::RejectInput(boost::beast::error_code error) -> void {
   using Reason = boost::beast::http::error;
   auto status = 400;
@@ -124,15 +279,24 @@
     status = 431;
   }
   if (error == Reason::body_limit) status = 413;
+  if (parser_->HeadAccepted() &&
+      (error == Reason::header_limit || error == Reason::bad_chunk_extension)) {
+    server_.NoteRefusal(ClientRefusal::kChunkFraming, client_);
+    status = 400;
+  }
   RespondUnread(status, {});
 }
 
 auto ServerSession::RespondUnread(int status, const HeaderFields& fields)
     -> void {
   parser_.reset();
+  body_memory_ = nullptr;
+  std::string().swap(input_);
+  input_before_close_ = 0;
   state_ = State::kAnswering;
   close_after_ = true;
   Respond(status, fields, "");
+  ChargeBuffers();
 }
 
 auto ServerSession::RefusePartialRequest() -> void {
@@ -226,8 +390,11 @@
   if (output_.empty()) return OutputSent();
   writing_.swap(output_);
   output_.clear();
+  ReleaseIfLarge(output_);
   written_ = 0;
   write_pending_ = true;
+  progress_at_ = MonotonicNow();
+  ChargeBuffers();
   boost::asio::async_write(
       socket_, boost::asio::buffer(writing_),
       [self = shared_from_this()](boost::system::error_code error,
@@ -237,8 +404,10 @@
         if (self->state_ == State::kClosed) return;
         if (error) return self->HandleEnd();
         self->writing_.clear();
+        ReleaseIfLarge(self->writing_);
         self->written_ = 0;
         self->Flush();
+        self->ChargeBuffers();
       });
 }
 
@@ -261,6 +430,10 @@
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
   on_drained_ = nullptr;
+  parser_.reset();
+  body_memory_ = nullptr;
+  std::string().swap(input_);
+  ChargeBuffers();
   boost::system::error_code ignored;  // The descriptor is released anyway.
   socket_.close(ignored);
   server_.sessions_.erase(shared_from_this());
--- a/modules/eventhttp/server/server_session.h
+++ b/modules/eventhttp/server/server_session.h
@@ -60,6 +60,18 @@
   // Answers a request of which only a part was read with 503.
   auto RefusePartialRequest() -> void;
   auto CheckTimeouts(Timestamp now) -> void;
+  // Since when the client has held memory of a body or a response without
+  // progress; nothing if it makes progress.
+  auto StalledSince(Timestamp now) const -> std::optional<Timestamp>;
+  // Since when the connection has carried no request, or one that stalls while
+  // it is read; nothing if it is in use.
+  auto UselessSince(Timestamp now) const -> std::optional<Timestamp>;
+  // Address of the client, without its port.
+  auto Client() const -> const std::string& { return client_; }
+  // Refuses the request that is read, or closes a response that is not taken.
+  auto Evict() -> void;
+  // Closes a connection whose descriptor another client needs.
+  auto Discard() -> void;
 
  private:
   enum class State {
@@ -82,6 +94,15 @@
   auto HandleEnd() -> void;
   auto ParseInput() -> void;
   auto RejectInput(boost::beast::error_code error) -> void;
+  // Reserves memory for what the client is about to send, or refuses the
+  // request. Returns whether it goes on.
+  auto ReserveBody() -> bool;
+  auto ReserveMoreBody(std::size_t input) -> bool;
+  // Charges bytes of a body, after evictions if necessary.
+  auto TryCharge(MemoryCharge& charge, std::size_t bytes) -> bool;
+  auto RefuseForMemory(const MemoryCharge& charge) -> void;
+  // Charges input that is not parsed and output that is not sent.
+  auto ChargeBuffers() -> void;
   // Answers a request that is not read any further, and closes.
   auto RespondUnread(int status, const HeaderFields& fields) -> void;
   auto AnswerEnded() -> void;
@@ -94,8 +115,19 @@
   boost::asio::ip::tcp::socket socket_;
   State state_ = State::kIdle;
   Timestamp state_since_;
+  std::string client_;
   std::string input_;
   std::optional<RequestParser> parser_;
+  MemoryCharge input_memory_;
+  MemoryCharge framing_memory_;
+  MemoryCharge output_memory_;
+  // Of the body that is being received.
+  std::shared_ptr<MemoryCharge> body_memory_;
+  bool body_announced_ = false;
+  // Progress of the body that is being received, or of the response.
+  Timestamp progress_at_;
+  Timestamp body_began_at_;
+  std::size_t body_bytes_ = 0;
   bool waiting_ = false;
   bool continue_sent_ = false;
   bool head_request_ = false;
--- a/modules/eventhttp/tests/server_tests.cc
+++ b/modules/eventhttp/tests/server_tests.cc
@@ -439,5 +439,142 @@
   EXPECT_TRUE(client.Ended());
 }
 
+// A server whose clients may cause 100,000 bytes.
+class OverloadTest : public ServerTest {
+ protected:
+  OverloadTest() {
+    OverloadLimits limits;
+    limits.stall_time = std::chrono::milliseconds(100);
+    limits.connections = 8;
+    server_.SetOverloadLimits(memory_, limits);
+    server_.OnRefusal([this](ClientRefusal refusal, const std::string&) {
+      refusals_.push_back(refusal);
+    });
+  }
+  auto Wait(Duration time) -> void {
+    const auto end = MonotonicNow() + time;
+    Run([&] { return MonotonicNow() >= end; });
+  }
+  static auto Post(std::size_t length) -> std::string {
+    return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
+           "\r\n\r\n";
+  }
+
+  std::shared_ptr<MemoryAccount> memory_ =
+      std::make_shared<MemoryAccount>(MemoryLimits{100'000, 0.85, 1});
+  std::vector<ClientRefusal> refusals_;
+};
+
+// Guards against a trailer that takes effect as a field of the head, such as
+// one that authenticates.
+TEST_F(OverloadTest, TrailersAreDropped) {
+  RawClient client(loop_, address_);
+  client.Send(
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n"
+      "2;x=y\r\nok\r\n0\r\nAuthorization: Token k\r\n\r\n");
+  Run([&] { return !requests_.empty(); });
+  ASSERT_EQ(requests_.size(), 1U);
+  EXPECT_EQ(requests_[0].body, "ok");
+  EXPECT_EQ(FindField(requests_[0].head.fields, "Authorization"), nullptr);
+  EXPECT_NE(FindField(requests_[0].head.fields, "A"), nullptr);
+}
+
+// Guards against memory for the framing of a body that grows without bound, in
+// one piece or in many.
+TEST_F(OverloadTest, FramingIsBounded) {
+  const std::string head =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string trailers;
+  while (trailers.size() < 20'000) trailers += "X: some value\r\n";
+  for (const auto& framing :
+       {"2;a=" + std::string(5000, 'x'),
+        "2;a=" + std::string(5000, 'x') + "\r\nok\r\n0\r\n\r\n",
+        "0\r\nX: " + std::string(20'000, 'x'),
+        "0\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", "0\r\n" + trailers,
+        "0\r\n" + trailers + "\r\n"}) {
+    RawClient client(loop_, address_);
+    client.Send(head + framing);
+    Run([&] { return client.Ended(); });
+    EXPECT_EQ(client.Received().substr(9, 3), "400")
+        << framing.substr(0, 8) << framing.size();
+  }
+  EXPECT_TRUE(requests_.empty());
+  EXPECT_EQ(refusals_.size(), 6U);
+  EXPECT_EQ(memory_->Used(MemoryUse::kFraming), 0U);
+}
+
+// Guards against framing within the bounds that is rejected.
+TEST_F(OverloadTest, FramingWithinTheBoundsIsAccepted) {
+  RawClient client(loop_, address_);
+  client.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;a=" +
+              std::string(4000, 'x') +
+              "\r\nok\r\n0\r\nX: " + std::string(16'000, 'x') + "\r\n\r\n");
+  Run([&] { return !requests_.empty(); });
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
+// Guards against announced bodies that are accepted although they do not fit.
+TEST_F(OverloadTest, BodyThatDoesNotFitIsRefusedBeforeItIsRead) {
+  RawClient first(loop_, address_);
+  first.Send(Post(60'000) + "a");
+  Wait(std::chrono::milliseconds(30));
+  EXPECT_GE(memory_->Used(MemoryUse::kReceivedBody), 60'000U);
+  RawClient second(loop_, address_);
+  second.Send(Post(60'000));
+  Run([&] { return second.Ended(); });
+  EXPECT_EQ(second.Received().substr(9, 3), "503");
+  EXPECT_NE(second.Received().find("Retry-After: 1"), std::string::npos);
+  EXPECT_NE(second.Received().find("Connection: close"), std::string::npos);
+  EXPECT_EQ(refusals_, std::vector{ClientRefusal::kNoMemory});
+}
+
+// Guards against bodies that stall and keep all others out.
+TEST_F(OverloadTest, StalledBodyIsEvictedForOneThatNeedsTheRoom) {
+  RawClient stalled(loop_, address_);
+  stalled.Send(Post(60'000) + "a");
+  Wait(std::chrono::milliseconds(150));
+  answer_ = true;
+  RawClient other(loop_, address_);
+  other.Send(Post(60'000) + std::string(60'000, 'b'));
+  Run([&] { return requests_.size() == 1 && stalled.Ended(); });
+  EXPECT_EQ(requests_.size(), 1U);
+  EXPECT_EQ(stalled.Received().substr(9, 3), "503");
+  EXPECT_EQ(refusals_, std::vector{ClientRefusal::kEvicted});
+}
+
+// Guards against a body without a length that grows beyond the bound, and
+// against memory that stays charged.
+TEST_F(OverloadTest, ChunkedBodiesAreChargedAsTheyGrow) {
+  server_.SetLimits(
+      {2048, 1'000'000, std::chrono::seconds(5), std::chrono::seconds(5)});
+  RawClient client(loop_, address_);
+  client.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const auto chunk = "2710\r\n" + std::string(10'000, 'x') + "\r\n";
+  for (int i = 0; i < 12 && !client.Ended(); ++i) {
+    client.Send(chunk);
+    Wait(std::chrono::milliseconds(5));
+    EXPECT_LE(memory_->Used(MemoryUse::kReceivedBody), 85'000U);
+  }
+  Run([&] { return client.Ended(); });
+  EXPECT_EQ(client.Received().substr(9, 3), "503");
+  EXPECT_EQ(memory_->Used(MemoryUse::kReceivedBody), 0U);
+}
+
+// Guards against connections without requests that use up the descriptors.
+TEST_F(OverloadTest, NewConnectionTakesThePlaceOfTheLongestIdleOne) {
+  std::vector<std::unique_ptr<RawClient>> idle;
+  for (int i = 0; i < 8; ++i) {
+    idle.push_back(std::make_unique<RawClient>(loop_, address_));
+    Wait(std::chrono::milliseconds(5));
+  }
+  RawClient client(loop_, address_);
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  Run([&] { return !requests_.empty() && idle[0]->Ended(); });
+  EXPECT_EQ(requests_.size(), 1U);
+  EXPECT_TRUE(idle[0]->Ended());
+  EXPECT_FALSE(idle[1]->Ended());
+  EXPECT_EQ(server_.OpenSessions(), 8U);
+}
+
 }  // namespace
 }  // namespace dotterellug::eventhttp
