--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -31,8 +31,8 @@
 constexpr std::size_t kKeptBuffer = 16'384;
 
 auto ReleaseIfLarge(std::string& buffer) -> void {
-  if (buffer.empty() && buffer.capacity() > kKeptBuffer)
-    std::string().swap(buffer);
+  const bool large = buffer.empty() && buffer.capacity() > kKeptBuffer;
+  if (large) std::string().swap(buffer);
 }
 
 auto ClientAddress(const boost::asio::ip::tcp::socket& socket) -> std::string {
