--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -186,8 +186,9 @@
 
 // The parser collects the bytes of a body with chunks in a buffer that doubles.
 auto ServerSession::ReserveMoreBody(std::size_t input) -> bool {
-  if (state_ != State::kReading || !body_memory_ || body_announced_)
-    return true;
+  const bool collects =
+      state_ == State::kReading && body_memory_ != nullptr && !body_announced_;
+  if (!collects) return true;
   const auto needed = parser_->Body().size() + input_.size() + input;
   auto room = parser_->BodyCapacity();
   if (needed <= room) return true;
