--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -23,6 +23,7 @@
   kDroppedLines,
   kStatedLoads,
   kAvoidances,
+  kClientRefusals,
 };
 
 // What a gateway states as it is now.
@@ -43,6 +44,8 @@
   kKnownWorkFactors,
   kSlowUpstreams,
   kAvoidedUpstreams,
+  kMemoryLimit,
+  kClientConnections,
 };
 
 // Durations of requests, as histograms.
@@ -70,6 +73,8 @@
   auto Count(GatewayCounter counter, std::string_view value, double amount = 1)
       -> void;
   auto Set(GatewayLevel level, double value) -> void;
+  // Sets the bytes that clients cause for a use.
+  auto SetMemory(std::string_view use, double bytes) -> void;
   // `value` is the account or the route; beyond a number of different ones it
   // is counted as "other".
   auto Observe(GatewayLatency latency, std::string_view value,
