Ask refused callers back at the drain rate, share by recent work, explain shedding

Cause: every refused caller was asked back after one second, so that all returned together; an account at 7.5 times its usual load got capacity from others because its work counted only while requests waited; shedding had no line of its own.

Change: Retry-After continues a schedule by kind at half of the drain rate, varied, within a third of the caller's time; a caller that returns with its id is not refused on arrival. Work served to accounts counts always and decays in 2 s. Late requests are held if less arrives than is served. The share of levels behind others is 1/5 (1/32 late), which serves short requests.

--- a/client/explain/request_story.cc
+++ b/client/explain/request_story.cc
@@ -422,6 +422,12 @@
              "it before" +
              RepeatEvidence() + OwnEvidence();
     }
+    if (cause == "no_capacity_in_time") {
+      return "refused after " + took +
+             ": so many requests of its pool waited for capacity that it would "
+             "have been refused or far too late after its wait" +
+             RepeatEvidence() + OwnEvidence();
+    }
     if (cause == "upstream_rate_used_up") {
       return "refused after " + took +
              ": the upstreams that could take it state a rate of requests, and "
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -19,7 +19,7 @@
 
 // Several slots that become free within this time are filled together, since
 // each search for one costs time on a small share of a processor.
-constexpr auto kServeDelay = std::chrono::milliseconds(4);
+constexpr auto kServeDelay = std::chrono::milliseconds(10);
 
 auto LogQuarantineChange(EventLog& log,
                          const quarantine::QuarantineChange& change,
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -30,6 +30,7 @@
 // get it.
 struct PoolQueue {
   WaitingQueue order;
+  ReturnSchedule returns;
   std::map<QueueTicket, std::shared_ptr<RequestExchange>> requests;
 };
 
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 8> kCounters{{
+const std::array<Name, 9> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -41,6 +41,9 @@
      "Copies of lists in the store asked of other daemons, by outcome."},
     {"dotterellug_gateway_log_lines_dropped_total", "event",
      "Log lines that did not fit the bounds, by event."},
+    {"dotterellug_gateway_queue_decisions_total", "decision",
+     "Requests that found no capacity in a pool whose routes differ, by pool, "
+     "priority and whether they wait in time, wait late or are refused."},
 }};
 
 const std::array<Name, 12> kLevels{{
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -20,6 +20,8 @@
   kStoreCalls,
   kCopyFetches,
   kDroppedLines,
+  // The label is pool/priority/decision.
+  kQueueDecisions,
 };
 
 // What a gateway states as it is now.
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -36,6 +36,8 @@
 constexpr int kPatienceGaps = 8;
 // When a caller whose request found no upstream is asked to come back.
 constexpr auto kReturnAfter = std::chrono::milliseconds(1000);
+// Callers come back after up to a third of the time that they have left.
+constexpr double kReturnWaitPart = 0.3;
 // When a caller is asked to come back whose daemon stops: another daemon can
 // take its request at once.
 constexpr Duration kReturnToAnotherDaemon{0};
@@ -409,9 +411,14 @@
 }
 
 auto RequestExchange::Dispatch(Timestamp now) -> void {
-  if (pool_ == nullptr) pool_ = ChoosePool();
-  if (pool_ == nullptr) return Refuse(503, "no_pool", ReturnDelay());
-  ordered_ = catalog_->HasUnequalRoutes(pool_->id);
+  if (pool_ == nullptr) {
+    pool_ = ChoosePool();
+    if (pool_ == nullptr) return Refuse(503, "no_pool", ReturnDelay());
+    ordered_ = catalog_->HasUnequalRoutes(pool_->id);
+    if (ordered_) {
+      context_.waiting[pool_->id].order.RecordArrival(QueueFacts(), now);
+    }
+  }
   if (deadline_ - now < kLeastTime) {
     return Refuse(503, "no_time_left", std::nullopt);
   }
@@ -432,8 +439,9 @@
   if (!upstream) return ParkForUpstream(upstream.error(), now);
   waiting_ = Waiting::kNothing;
   LeaveQueue();
-  if (ordered_)
+  if (ordered_) {
     context_.waiting[pool_->id].order.RecordStart(QueueFacts(), now);
+  }
   BeginTrial(now);
   SendTo(*upstream, now);
 }
@@ -520,14 +528,25 @@
 auto RequestExchange::AwaitCapacity(Timestamp now) -> void {
   waits_for_ = ReasonName(SelectionFailure::kNoneEligible);
   const auto facts = QueueFacts();
-  if (now >= facts.give_up) return Refuse(503, waits_for_, ReturnDelay());
+  if (now >= facts.give_up) {
+    return Refuse(503, waits_for_, ReturnDelayInQueue(now));
+  }
   if (!ticket_) {
     auto& queue = context_.waiting[pool_->id];
     const auto decision = queue.order.Decide(facts, now);
-    if (decision == WaitDecision::kRefuse) {
-      return Refuse(503, "no_capacity_in_time", ReturnDelay());
+    const bool refuse = decision == WaitDecision::kRefuse &&
+                        !queue.returns.TakeReturn(request_.id, now);
+    const char* outcome = "late";
+    if (refuse) outcome = "refused";
+    if (decision == WaitDecision::kOnTime) outcome = "in_time";
+    context_.metrics.Count(
+        GatewayCounter::kQueueDecisions,
+        pool_->id.Value() + '/' + std::to_string(priority_) + '/' + outcome);
+    if (refuse) {
+      LogShed(facts, now);
+      return Refuse(503, "no_capacity_in_time", ReturnDelayInQueue(now));
     }
-    expected_late_ = decision == WaitDecision::kLate;
+    expected_late_ = decision != WaitDecision::kOnTime;
     ticket_ = queue.order.Add(QueueFacts());
     queue.requests.emplace(*ticket_, shared_from_this());
     context_.ServeWaitingSoon();
@@ -535,6 +554,36 @@
   Park(Waiting::kUpstream, facts.give_up);
 }
 
+auto RequestExchange::ReturnDelayInQueue(Timestamp now) -> Duration {
+  if (context_.final_answers_at) return kReturnToAnotherDaemon;
+  auto& queue = context_.waiting[pool_->id];
+  const auto facts = QueueFacts();
+  ReturnSchedule::Refused refused;
+  refused.id = request_.id;
+  refused.kind = facts.kind;
+  refused.work = facts.work;
+  refused.backlog = queue.order.ExpectedWait(facts, now);
+  refused.work_per_second = queue.order.WorkPerSecond(facts.kind);
+  refused.longest = Part(deadline_ - now, kReturnWaitPart);
+  return queue.returns.Next(refused, context_.random.Uniform(), now);
+}
+
+auto RequestExchange::LogShed(const WaitingRequest& facts, Timestamp now)
+    -> void {
+  const auto& order = context_.waiting[pool_->id].order;
+  const auto wait = order.ExpectedWait(facts, now);
+  const auto rate = order.WorkPerSecond(facts.kind);
+  context_.log.Write(EventRank::kFailure, "request_shed")
+      .Add("request", request_.id.Value())
+      .Add("pool", pool_->id.Value())
+      .Add("priority", priority_)
+      .Add("waiting", static_cast<std::int64_t>(order.Size()))
+      .AddMs("expected_wait_ms", wait.value_or(Duration::zero()))
+      .AddMs("left_to_target_ms", facts.latest_start - now)
+      .AddMs("left_to_refusal_ms", facts.give_up - now)
+      .Add("busy_slots", static_cast<std::int64_t>(rate.value_or(0)));
+}
+
 auto RequestExchange::LeaveQueue() -> void {
   if (!ticket_) return;
   auto& queue = context_.waiting.at(pool_->id);
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -142,6 +142,10 @@
   // Waits in the pool's queue for capacity, or refuses the request if it would
   // wait in vain.
   auto AwaitCapacity(Timestamp now) -> void;
+  // When the caller of a request that leaves the queue, or did not join it, is
+  // asked to come back.
+  auto ReturnDelayInQueue(Timestamp now) -> Duration;
+  auto LogShed(const WaitingRequest& facts, Timestamp now) -> void;
   auto LeaveQueue() -> void;
   // Chooses the upstream for which the request awaits a permit. Returns whether
   // it is a new one, so that the hub should be asked.
--- a/modules/admission/admission.h
+++ b/modules/admission/admission.h
@@ -18,6 +18,7 @@
 #include "admission/queue/drain_rate.h"
 #include "admission/queue/queued_request.h"
 #include "admission/queue/refusal.h"
+#include "admission/queue/return_schedule.h"
 #include "admission/queue/waiting_queue.h"
 #include "admission/queue/waiting_request.h"
 #include "admission/retry/backoff.h"
--- a/modules/admission/queue/blocked_requests.cc
+++ b/modules/admission/queue/blocked_requests.cc
@@ -7,7 +7,7 @@
 
 // Failed searches after which requests of the same key are not tried before the
 // next round.
-constexpr int kMostTries = 4;
+constexpr int kMostTries = 2;
 
 }  // namespace
 
--- a/modules/admission/queue/waiting_queue.cc
+++ b/modules/admission/queue/waiting_queue.cc
@@ -19,8 +19,19 @@
 // Time constant of drain rates. Capacity may change by a third within a second,
 // and refusals must follow it.
 constexpr auto kDrainDecayTime = std::chrono::seconds(2);
+// Time constant of arrival rates: long enough for some requests of each class,
+// short enough to notice the begin of a burst before many requests are held.
+constexpr double kArrivalDecaySeconds = 1;
 // Kinds of requests whose drain rate is remembered.
 constexpr std::size_t kMostKinds = 4096;
+// Time constant with which the work that accounts were served is forgotten. An
+// account that was idle goes first for about this long; longer would let it
+// displace others with what it did not use before.
+constexpr double kServedDecaySeconds = 2;
+// The decay is applied in steps of this many seconds, and less work than this
+// many seconds is forgotten.
+constexpr double kServedStep = 0.05;
+constexpr double kForgottenWork = 0.001;
 // Levels are owed at most this many seconds of work, so that one that could not
 // take its turn for a while does not take many at once.
 constexpr double kMostOwed = 10;
@@ -41,40 +52,54 @@
 
 }  // namespace
 
+auto WaitingQueue::ArrivalRate::At(Timestamp now) const -> double {
+  return per_second *
+         std::exp(-ToSeconds(now - updated_at) / kArrivalDecaySeconds);
+}
+
+auto WaitingQueue::ArrivalRate::Add(double work, Timestamp now) -> void {
+  per_second = At(now) + work / kArrivalDecaySeconds;
+  updated_at = now;
+}
+
+auto WaitingQueue::RecordArrival(const WaitingRequest& request, Timestamp now)
+    -> void {
+  if (arrival_rates_.size() >= kMostKinds) arrival_rates_.clear();
+  arrival_rates_[request.kind].Add(Seconds(request), now);
+}
+
+auto WaitingQueue::LatePart(const std::string& kind, double work_per_second,
+                            Timestamp now) const -> double {
+  const auto part = std::max(late_part_, kLeastLateShare);
+  const auto arrivals = arrival_rates_.find(kind);
+  if (arrivals == arrival_rates_.end()) return part;
+  // What does not arrive is left over, as after a short stall.
+  return std::max(part, 1 - arrivals->second.At(now) / work_per_second);
+}
+
 auto WaitingQueue::Add(const WaitingRequest& request) -> QueueTicket {
-  auto& served = served_[request.priority];
-  const auto [own, added] = served.try_emplace(request.account, 0.0);
-  const auto waits = [&](const ClientAccountId& account) {
-    return std::any_of(requests_.begin(), requests_.end(), [&](const auto& e) {
-      return e.second.priority == request.priority &&
-             e.second.account == account;
-    });
-  };
-  // An account gets no credit for the time in which it had nothing to send.
-  if (!waits(request.account)) {
-    std::optional<double> least;
-    for (const auto& [ticket, other] : requests_) {
-      if (other.priority != request.priority) continue;
-      const auto work = served.at(other.account);
-      least = least ? std::min(*least, work) : work;
-    }
-    if (least) own->second = std::max(own->second, *least);
-  }
   last_ticket_ = last_ticket_.Next();
   requests_.emplace(last_ticket_, request);
   return last_ticket_;
 }
 
 auto WaitingQueue::Remove(QueueTicket ticket) -> void {
-  const auto found = requests_.find(ticket);
-  if (found == requests_.end()) return;
-  const auto priority = found->second.priority;
-  requests_.erase(found);
-  const bool others = std::any_of(
-      requests_.begin(), requests_.end(),
-      [&](const auto& entry) { return entry.second.priority == priority; });
-  // Without waiting requests, nobody's share is at the cost of another's.
-  if (!others) served_.erase(priority);
+  requests_.erase(ticket);
+}
+
+auto WaitingQueue::CountServed(const WaitingRequest& request, Timestamp now)
+    -> void {
+  const auto elapsed = ToSeconds(now - served_at_);
+  if (elapsed > kServedStep) {
+    served_at_ = now;
+    const auto factor = std::exp(-elapsed / kServedDecaySeconds);
+    for (auto served = served_.begin(); served != served_.end();) {
+      served->second *= factor;
+      served = served->second < kForgottenWork ? served_.erase(served)
+                                               : std::next(served);
+    }
+  }
+  served_[{request.priority, request.account}] += Seconds(request);
 }
 
 auto WaitingQueue::RecordStart(const WaitingRequest& request, Timestamp now)
@@ -91,8 +116,7 @@
   }
   const auto weight = std::min(1.0, work * kLatePartWeight);
   late_part_ += weight * ((level.first ? 1.0 : 0.0) - late_part_);
-  const auto served = served_.find(request.priority);
-  if (served != served_.end()) served->second[request.account] += work;
+  CountServed(request, now);
 
   const auto levels = ByLevel(now);
   for (auto owed = owed_.begin(); owed != owed_.end();) {
@@ -140,10 +164,8 @@
 }
 
 auto WaitingQueue::ServedWork(const WaitingRequest& request) const -> double {
-  const auto priority = served_.find(request.priority);
-  if (priority == served_.end()) return 0;
-  const auto account = priority->second.find(request.account);
-  return account == priority->second.end() ? 0 : account->second;
+  const auto served = served_.find({request.priority, request.account});
+  return served == served_.end() ? 0 : served->second;
 }
 
 auto WaitingQueue::AppendLevel(const Entries& entries,
@@ -228,7 +250,7 @@
     if (other.kind != request.kind) continue;
     if (other.Late(now) && LevelOf(other, now) <= own) ahead += Seconds(other);
   }
-  const auto late_rate = *rate * std::max(late_part_, kLeastLateShare);
+  const auto late_rate = *rate * LatePart(request.kind, *rate, now);
   const auto start = now + FromSeconds(kLateWaitMargin *
                                        (ahead + Seconds(request)) / late_rate);
   return start > request.give_up ? WaitDecision::kRefuse : WaitDecision::kLate;
--- a/modules/admission/queue/waiting_queue.h
+++ b/modules/admission/queue/waiting_queue.h
@@ -27,8 +27,8 @@
 // The order of the requests of one pool that wait for capacity of upstreams.
 // Requests that can still meet their latency target come first, more urgent
 // ones before others. Within a priority, accounts take turns by the work that
-// they were served (virtual token counters), and the requests of an account go
-// by their latest start, shorter work first.
+// they were served in the last seconds (virtual token counters that decay), and
+// the requests of an account go by their latest start, shorter work first.
 //
 // Requests that come behind are not starved: each level (a priority, on time or
 // late) with waiting requests is served at least a share of the work that
@@ -41,7 +41,7 @@
  public:
   // Part of the work started before it that each level is owed, on time and
   // late. The first serves a class of short requests whole.
-  static constexpr double kLeastShare = 1.0 / 8;
+  static constexpr double kLeastShare = 1.0 / 5;
   static constexpr double kLeastLateShare = 1.0 / 32;
 
   struct Turn {
@@ -54,6 +54,8 @@
   // before the drain rate has been measured, count as short enough.
   auto Decide(const WaitingRequest& request, Timestamp now) const
       -> WaitDecision;
+  // Records that a request has arrived, whether it will wait or not.
+  auto RecordArrival(const WaitingRequest& request, Timestamp now) -> void;
   auto Add(const WaitingRequest& request) -> QueueTicket;
   auto Remove(QueueTicket ticket) -> void;
   // Records that a request has been sent to an upstream, whether it waited
@@ -83,9 +85,23 @@
   using Entry = std::pair<const QueueTicket, WaitingRequest>;
   using Entries = std::vector<const Entry*>;
 
+  // Seconds of work that arrive per second, as a decayed average.
+  struct ArrivalRate {
+    double per_second = 0;
+    Timestamp updated_at{};
+
+    auto Add(double work, Timestamp now) -> void;
+    auto At(Timestamp now) const -> double;
+  };
+
+  // Part of the drain rate that late requests can count on.
+  auto LatePart(const std::string& kind, double work_per_second,
+                Timestamp now) const -> double;
+
   static auto LevelOf(const WaitingRequest& request, Timestamp now) -> Level {
     return {request.Late(now), request.priority};
   }
+  auto CountServed(const WaitingRequest& request, Timestamp now) -> void;
   static auto LeastShare(const Level& level) -> double;
   auto ServedWork(const WaitingRequest& request) const -> double;
   auto ByLevel(Timestamp now) const -> std::map<Level, Entries>;
@@ -98,14 +114,16 @@
 
   std::map<QueueTicket, WaitingRequest> requests_;
   QueueTicket last_ticket_;
-  // Seconds of work that each account was served, by priority, while requests
-  // of that priority waited.
-  std::map<int, std::map<ClientAccountId, double>> served_;
+  // Seconds of work that each account was served at each priority lately, with
+  // or without a wait.
+  std::map<std::pair<int, ClientAccountId>, double> served_;
+  Timestamp served_at_{};
   // Seconds of work that levels with waiting requests are owed.
   std::map<Level, double> owed_;
   // Part of the started work that was late, as a moving average.
   double late_part_ = 0;
   std::unordered_map<std::string, DrainRate> drain_rates_;
+  std::unordered_map<std::string, ArrivalRate> arrival_rates_;
 };
 
 }  // namespace dotterellug
--- a/modules/admission/tests/pool_simulation.h
+++ b/modules/admission/tests/pool_simulation.h
@@ -38,6 +38,8 @@
   // Refused by the daemon, or given up by the caller.
   std::int64_t refused = 0;
   std::int64_t left = 0;
+  // Of those in time and late.
+  std::int64_t served_on_return = 0;
   Duration longest_hold_of_refused{0};
   Duration longest_wait{0};
 };
@@ -53,10 +55,14 @@
 
 // Daemons and engines of one pool in virtual time. Engines admit more urgent
 // requests first. Daemons learn the load from others every 150 ms. Callers
-// leave when the first event has not come within their patience, and do not
-// retry.
+// leave when the first event has not come within their patience. If they retry,
+// they do so once, after Retry-After, which is up to a third of the time that
+// they have left.
 class PoolSimulation {
  public:
+  // After which time refused callers are asked to come back.
+  enum class Return { kNever, kAfterASecond, kScheduled };
+
   PoolSimulation(SimulatedOrder order, int daemons, int engines, int slots)
       : order_(order),
         daemons_(static_cast<std::size_t>(daemons)),
@@ -75,6 +81,8 @@
     stopped_ = {count, Seconds(from), Seconds(to)};
   }
 
+  auto SetReturn(Return how) -> void { return_ = how; }
+
   auto Run(const std::vector<SimulatedClass>& classes, double seconds) -> void {
     AddArrivals(classes, seconds);
     const auto end = Seconds(seconds + 15);
@@ -107,6 +115,7 @@
     const SimulatedClass* kind = nullptr;
     std::string account;
     Timestamp arrival;
+    Timestamp first_arrival;
     std::size_t daemon = 0;
     std::size_t engine = 0;
     std::optional<QueueTicket> ticket;
@@ -115,6 +124,7 @@
     bool sent = false;
     bool ended = false;
     bool expected_late = false;
+    bool returned = false;
   };
   using CallPtr = std::shared_ptr<Call>;
   struct Event {
@@ -134,6 +144,7 @@
     std::vector<std::int64_t> own;
     std::vector<std::int64_t> others;
     WaitingQueue queue;
+    ReturnSchedule returns;
     std::map<QueueTicket, CallPtr> requests;
     std::vector<CallPtr> parked;
     serving::EngineWait engine_wait;
@@ -193,7 +204,7 @@
     const auto& daemon = daemons_[call.daemon];
     WaitFacts facts;
     facts.arrival = call.arrival;
-    facts.deadline = call.arrival + call.kind->budget;
+    facts.deadline = call.first_arrival + call.kind->budget;
     facts.latency_target = call.kind->target;
     facts.patience = Patience(call);
     facts.first_event = daemon.engine_wait.FirstEvent(call.kind->name);
@@ -207,7 +218,13 @@
   }
 
   auto Arrive(const CallPtr& call) -> void {
-    Count(*call, [](auto& outcome) { ++outcome.arrived; });
+    if (call->returned) {
+      // The new attempt has the time to its target again, but not the budget.
+      call->first_arrival = std::exchange(call->arrival, now_);
+    } else {
+      call->first_arrival = call->arrival;
+      Count(*call, [](auto& outcome) { ++outcome.arrived; });
+    }
     At(call->arrival + Patience(*call), [this, call] {
       if (call->ended || call->sent) return;
       LeaveQueue(*call);
@@ -219,6 +236,7 @@
       return;
     }
     const auto facts = Facts(*call);
+    daemon.queue.RecordArrival(facts, now_);
     if (!daemon.queue.OthersBefore(facts, now_) && Dispatch(call, false)) {
       return;
     }
@@ -232,6 +250,19 @@
 
   auto Refuse(Call& call) -> void {
     LeaveQueue(call);
+    if (return_ != Return::kNever && !call.returned) {
+      const auto delay = ReturnDelay(call);
+      auto again = std::make_shared<Call>();
+      again->kind = call.kind;
+      again->account = call.account;
+      again->arrival = call.arrival;
+      again->returned = true;
+      again->daemon =
+          random_.Below(static_cast<std::uint64_t>(daemons_.size()));
+      call.ended = true;
+      At(now_ + delay, [this, again] { Arrive(again); });
+      return;
+    }
     const Duration held = now_ - call.arrival;
     End(call, [&](auto& outcome) {
       ++outcome.refused;
@@ -240,6 +271,19 @@
     });
   }
 
+  auto ReturnDelay(const Call& call) -> Duration {
+    if (return_ == Return::kAfterASecond) return std::chrono::seconds(1);
+    auto& daemon = daemons_[call.daemon];
+    const auto facts = Facts(call);
+    ReturnSchedule::Refused refused;
+    refused.kind = facts.kind;
+    refused.work = facts.work;
+    refused.backlog = daemon.queue.ExpectedWait(facts, now_);
+    refused.work_per_second = daemon.queue.WorkPerSecond(facts.kind);
+    refused.longest = (call.arrival + call.kind->budget - now_) * 3 / 10;
+    return daemon.returns.Next(refused, random_.Uniform(), now_);
+  }
+
   auto End(Call& call, const std::function<void(SimulatedOutcome&)>& f)
       -> void {
     if (call.ended) return;
@@ -328,6 +372,9 @@
 
   auto FirstEvent(Call& call) -> void {
     const Duration took = now_ - call.arrival;
+    if (call.returned) {
+      Count(call, [](auto& outcome) { ++outcome.served_on_return; });
+    }
     daemons_[call.daemon].engine_wait.AddUnanswered(PoolId("pool"),
                                                     call.kind->priority, -1);
     const bool in_time = took <= call.kind->target;
@@ -381,7 +428,7 @@
     auto& daemon = daemons_[index];
     if (daemon.queue.Empty() || daemon.serves_soon) return;
     daemon.serves_soon = true;
-    At(now_ + std::chrono::milliseconds(4), [this, index] {
+    At(now_ + std::chrono::milliseconds(10), [this, index] {
       daemons_[index].serves_soon = false;
       Serve(index);
     });
@@ -411,6 +458,7 @@
   };
 
   SimulatedOrder order_;
+  Return return_ = Return::kNever;
   std::vector<Daemon> daemons_;
   std::vector<Engine> engines_;
   int slots_;
--- a/modules/admission/tests/waiting_queue_tests.cc
+++ b/modules/admission/tests/waiting_queue_tests.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <string>
@@ -50,6 +51,29 @@
   EXPECT_EQ(Tickets(queue, At(200)), (std::vector<std::int64_t>{3, 2, 1, 4}));
 }
 
+// Guards against an order by latest start alone.
+TEST(WaitingQueueTest, PriorityComesBeforeLatestStart) {
+  WaitingQueue queue;
+  queue.Add(Waiting("a", 2, 400));
+  queue.Add(Waiting("a", 0, 900));
+  EXPECT_EQ(Tickets(queue, At(0)), (std::vector<std::int64_t>{2, 1}));
+}
+
+// Guards against an account that sends much and whose requests mostly start
+// without a wait, so that its turns in the queue alone do not bound it.
+TEST(WaitingQueueTest, AccountsServedMuchLatelyGoBehindOthers) {
+  WaitingQueue queue;
+  for (int i = 0; i < 4; ++i) queue.RecordStart(Waiting("many", 1, 500), At(0));
+  queue.Add(Waiting("many", 1, 500));
+  queue.Add(Waiting("few", 1, 900));
+  EXPECT_EQ(Tickets(queue, At(100)), (std::vector<std::int64_t>{2, 1}));
+  // What was served long ago no longer counts.
+  queue.RecordStart(Waiting("other", 1, 40'000), At(30'000));
+  queue.Add(Waiting("many", 1, 40'000));
+  queue.Add(Waiting("few", 1, 41'000));
+  EXPECT_EQ(Tickets(queue, At(30'000)).front(), 3);
+}
+
 // Guards against long requests before short ones that are as urgent.
 TEST(WaitingQueueTest, OrdersEqualsByShorterWork) {
   WaitingQueue queue;
@@ -122,6 +146,53 @@
   EXPECT_EQ(queue.Decide(urgent, At(now)), WaitDecision::kOnTime);
 }
 
+// Guards against refusals after a short stall, when less arrives than is
+// served, so that the backlog of late requests is soon gone.
+TEST(WaitingQueueTest, HoldsLateRequestsWhileLessArrivesThanIsServed) {
+  for (const int arrivals : {1, 4}) {
+    WaitingQueue queue;
+    for (int i = 0; i < 30; ++i) queue.Add(Waiting("a", 0, 100'000, 100));
+    std::int64_t now = 0;
+    // Two slots, of which the arrivals need one, or twice as many as there are.
+    for (int i = 0; i < 20; ++i) {
+      for (int j = 0; j < 2; ++j) {
+        queue.Remove(queue.Order(At(now)).front().ticket);
+        queue.RecordStart(Waiting("a", 0, 100'000, 100), At(now));
+      }
+      for (int j = 0; j < arrivals; ++j) {
+        queue.RecordArrival(Waiting("a", 0, 100'000, 100), At(now));
+        queue.Add(Waiting("a", 0, 100'000, 100));
+      }
+      now += 100;
+    }
+    auto late = Waiting("a", 0, now - 1, 100);
+    late.give_up = At(now + 1000);
+    EXPECT_EQ(queue.Decide(late, At(now)),
+              arrivals == 1 ? WaitDecision::kLate : WaitDecision::kRefuse);
+  }
+}
+
+// Guards against searches for an upstream that cannot succeed, and against
+// patient requests that take what an urgent one waits for.
+TEST(BlockedRequestsTest, SkipsWhatWouldFindNoCapacityEither) {
+  auto urgent = Waiting("a", 1, 1000);
+  urgent.upstream_wait = milliseconds(200);
+  auto patient = Waiting("a", 2, 4000);
+  patient.upstream_wait = milliseconds(400);
+  BlockedRequests blocked;
+  EXPECT_FALSE(blocked.Contains(urgent, At(0)));
+  blocked.Add(urgent, At(0));
+  EXPECT_TRUE(blocked.Contains(urgent, At(0)));
+  EXPECT_TRUE(blocked.Contains(patient, At(0)));
+  auto other = patient;
+  other.kind = "another model";
+  EXPECT_FALSE(blocked.Contains(other, At(0)));
+  // A late request blocks none that can be in time.
+  BlockedRequests by_late;
+  by_late.Add(urgent, At(2000));
+  EXPECT_FALSE(by_late.Contains(patient, At(2000)));
+}
+
 auto Constant(double rate) -> std::function<double(double)> {
   return [rate](double) { return rate; };
 }
@@ -237,5 +308,110 @@
   EXPECT_GT(chat.in_time, both.arrival.Outcome("chat").in_time);
 }
 
+// Guards against other accounts that lose requests because one account sends
+// 7.5 times its usual load.
+TEST(WaitingQueueLoadTest, OneAccountAtSevenAndAHalfTimesItsUsual) {
+  auto classes = ThreeClasses(0.85, 12 * 16);
+  auto& chat = classes[0];
+  const auto rate = chat.accounts["a"](0);
+  chat.accounts.clear();
+  for (const auto* account : {"b", "c", "d", "e"}) {
+    chat.accounts[account] = Constant(rate / 5);
+  }
+  chat.accounts["many"] = Burst(rate / 5, 5, 13, 7.5);
+  const auto both = Compare("one account at 7.5 times", classes, 20);
+  for (const auto* account : {"b", "c", "d", "e"}) {
+    const auto before = both.arrival.Outcome("chat", account);
+    const auto after = both.admission.Outcome("chat", account);
+    std::cout << "  account " << account << ": in time "
+              << Percent(before.in_time, before.arrived) << "% and "
+              << Percent(after.in_time, after.arrived) << "%\n";
+    EXPECT_GE(Percent(after.in_time, after.arrived), 85);
+    EXPECT_GT(after.in_time, before.in_time);
+  }
+  const auto many = both.admission.Outcome("chat", "many");
+  std::cout << "  account many: in time " << Percent(many.in_time, many.arrived)
+            << "%\n";
+  EXPECT_GE(Percent(many.in_time + many.late, many.arrived), 30);
+}
+
+// Guards against callers that all come back at the same time, and against more
+// returning requests than the capacity that becomes available.
+TEST(ReturnScheduleTest, CallersReturnAtAPartOfTheDrainRate) {
+  ReturnSchedule schedule;
+  ReturnSchedule::Refused refused;
+  refused.work = milliseconds(1500);
+  refused.backlog = milliseconds(500);
+  refused.work_per_second = 16;
+  refused.longest = std::chrono::seconds(60);
+  Random random(1);
+  std::vector<double> returns;
+  for (int i = 0; i < 100; ++i) {
+    returns.push_back(
+        ToSeconds(schedule.Next(refused, random.Uniform(), At(0))));
+  }
+  std::sort(returns.begin(), returns.end());
+  EXPECT_GT(returns.front(), 0.3);
+  // 16 slots of 1.5 s serve 10.7 requests a second, of which half may be
+  // returning ones.
+  for (std::size_t i = 6; i < returns.size(); ++i) {
+    EXPECT_GT(returns[i] - returns[i - 6], 0.75);
+  }
+}
+
+// Guards against delays that callers would not honour, and against a schedule
+// that gives such delays to all later callers.
+TEST(ReturnScheduleTest, DelaysStayWithinWhatCallersAccept) {
+  ReturnSchedule schedule;
+  ReturnSchedule::Refused refused;
+  refused.work = milliseconds(1500);
+  refused.backlog = std::chrono::seconds(20);
+  refused.work_per_second = 1;
+  refused.longest = std::chrono::seconds(2);
+  for (int i = 0; i < 50; ++i) {
+    const auto delay = schedule.Next(refused, 0.02 * i, At(0));
+    EXPECT_LE(delay, refused.longest);
+    EXPECT_GE(delay, refused.longest / 2);
+  }
+}
+
+// Guards against a caller that is refused again on its return, and against
+// callers that come back at once to be taken in.
+TEST(ReturnScheduleTest, RecognisesCallersThatReturnInTime) {
+  ReturnSchedule schedule;
+  ReturnSchedule::Refused refused;
+  refused.id = RequestId("r1");
+  refused.longest = std::chrono::seconds(5);
+  const auto delay = schedule.Next(refused, 0.5, At(0));
+  EXPECT_FALSE(schedule.TakeReturn(RequestId("r2"), At(0) + delay));
+  EXPECT_TRUE(schedule.TakeReturn(RequestId("r1"), At(0) + delay));
+  EXPECT_FALSE(schedule.TakeReturn(RequestId("r1"), At(0) + delay));
+  schedule.Next(refused, 0.5, At(0));
+  EXPECT_FALSE(schedule.TakeReturn(RequestId("r1"), At(10)));
+}
+
+// Guards against returning callers that are refused a second time because all
+// come back after the same second, while the overload lasts.
+TEST(ReturnScheduleTest, ScheduledReturnsAreServedMoreOftenInOverload) {
+  auto classes = ThreeClasses(0.9, 12 * 16);
+  classes[0].accounts["a"] = Burst(classes[0].accounts["a"](0), 5, 13, 3.0);
+  std::int64_t served[2] = {0, 0};
+  int index = 0;
+  for (const auto how : {PoolSimulation::Return::kAfterASecond,
+                         PoolSimulation::Return::kScheduled}) {
+    PoolSimulation simulation(SimulatedOrder::kAdmission, 4, 12, 16);
+    simulation.SetReturn(how);
+    simulation.Run(classes, 20);
+    const bool scheduled = how == PoolSimulation::Return::kScheduled;
+    Print(scheduled ? "burst of chats, returns scheduled"
+                    : "burst of chats, returns after a second",
+          simulation, {"chat", "tag", "draft"});
+    const auto chat = simulation.Outcome("chat");
+    std::cout << "  chats served on return " << chat.served_on_return << "\n";
+    served[index++] = chat.in_time + chat.late;
+  }
+  EXPECT_GE(served[1], served[0]);
+}
+
 }  // namespace
 }  // namespace dotterellug
