Spread requests over busy engines in pools that wait in order

Cause: daemons with the same report of the load all choose the same engines until the next one, so queues at engines exceed their bound.

Change: SpreadOverBusy tries a random quarter of the candidates first if the preferred one has half of its slots in use; pools in order of arrival keep the order by cost.

GatewayTest and WaitingOrderTest pass. Not yet run on a deployment.

--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -389,7 +389,10 @@
     -> tl::expected<serving::UpstreamTable::Entry, SelectionFailure> {
   without_permit_.clear();
   if (!ranked) return tl::unexpected(ranked.error());
-  for (const auto& candidate : *ranked) {
+  const auto candidates =
+      ordered_ ? serving::SpreadOverBusy(*ranked, context_.random, now)
+               : *ranked;
+  for (const auto& candidate : candidates) {
     if (Admit(*candidate.upstream, now)) return candidate.upstream;
   }
   return tl::unexpected(SelectionFailure::kNoneEligible);
--- a/modules/admission/tests/pool_simulation.h
+++ b/modules/admission/tests/pool_simulation.h
@@ -81,6 +81,7 @@
     stopped_ = {count, Seconds(from), Seconds(to)};
   }
 
+  auto SetSpreads(bool spreads) -> void { spreads_ = spreads; }
   auto SetReturn(Return how) -> void { return_ = how; }
 
   auto Run(const std::vector<SimulatedClass>& classes, double seconds) -> void {
@@ -322,13 +323,22 @@
 
   auto Choose(Call& call, double part) -> bool {
     const auto& daemon = daemons_[call.daemon];
+    std::int64_t fewest = slots_;
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (!Stopped(i))
+        fewest = std::min(fewest, daemon.own[i] + daemon.others[i]);
+    }
+    // As SpreadOverBusy.
+    const bool spreads = order_ == SimulatedOrder::kAdmission && spreads_ &&
+                         fewest * 2 >= slots_;
     double least = 0;
     bool found = false;
     for (std::size_t i = 0; i < engines_.size(); ++i) {
       if (Stopped(i)) continue;
       const auto total = static_cast<double>(daemon.own[i] + daemon.others[i]);
       if (total >= slots_ * (1 + part)) continue;
-      const auto cost = total + random_.Uniform();
+      auto cost = total + random_.Uniform();
+      if (spreads && random_.Uniform() < 0.25) cost -= 1000;
       if (found && cost >= least) continue;
       found = true;
       least = cost;
@@ -458,6 +468,7 @@
   };
 
   SimulatedOrder order_;
+  bool spreads_ = true;
   Return return_ = Return::kNever;
   std::vector<Daemon> daemons_;
   std::vector<Engine> engines_;
--- a/modules/admission/tests/waiting_queue_tests.cc
+++ b/modules/admission/tests/waiting_queue_tests.cc
@@ -335,6 +335,29 @@
   EXPECT_GE(Percent(many.in_time + many.late, many.arrived), 30);
 }
 
+// Guards against queues at engines beyond their bound, because many daemons
+// with the same old report of the load choose the same engines.
+TEST(WaitingQueueLoadTest, BurstOfTheLeastUrgentClassAtTwentyDaemons) {
+  auto classes = ThreeClasses(0.8, 12 * 16);
+  classes[2].accounts["a"] = Burst(classes[2].accounts["a"](0), 5, 13, 3.0);
+  double in_time[2] = {0, 0};
+  for (const bool spreads : {false, true}) {
+    PoolSimulation simulation(SimulatedOrder::kAdmission, 20, 12, 16);
+    simulation.SetSpreads(spreads);
+    simulation.Run(classes, 20);
+    Print(spreads ? "20 daemons, spread over busy engines"
+                  : "20 daemons, each the engine with the least load",
+          simulation, {"chat", "tag", "draft"});
+    const auto chat = simulation.Outcome("chat");
+    in_time[spreads ? 1 : 0] = Percent(chat.in_time, chat.arrived);
+  }
+  PoolSimulation arrival(SimulatedOrder::kArrival, 20, 12, 16);
+  arrival.Run(classes, 20);
+  Print("20 daemons, order of arrival", arrival, {"chat", "tag", "draft"});
+  EXPECT_GE(in_time[1], 90);
+  EXPECT_GT(in_time[1], in_time[0]);
+}
+
 // Guards against callers that all come back at the same time, and against more
 // returning requests than the capacity that becomes available.
 TEST(ReturnScheduleTest, CallersReturnAtAPartOfTheDrainRate) {
--- a/modules/serving/serving.h
+++ b/modules/serving/serving.h
@@ -9,6 +9,7 @@
 
 #include "serving/backpressure/backpressure_table.h"
 #include "serving/catalog/serving_catalog.h"
+#include "serving/dispatch/candidate_sample.h"
 #include "serving/dispatch/cold_start_limiter.h"
 #include "serving/dispatch/engine_wait.h"
 #include "serving/dispatch/service_time_estimate.h"
--- a/modules/serving/tests/engine_wait_tests.cc
+++ b/modules/serving/tests/engine_wait_tests.cc
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <memory>
+#include <set>
+#include <string>
 
 #include "serving/serving.h"
 
@@ -65,6 +68,38 @@
   EXPECT_NEAR(ToSeconds(*wait.SlotTime("chat")), 1.5, 0.01);
 }
 
+// Guards against daemons that all choose the same busy upstream, against
+// suspected upstreams that are preferred, and against a changed order while
+// there are free slots.
+TEST(CandidateSampleTest, SpreadsOverBusyUpstreamsOnly) {
+  const auto now = Timestamp(std::chrono::seconds(100));
+  const auto candidates = [&](std::int64_t requests) {
+    UpstreamSelector::Candidates made;
+    for (int i = 0; i < 40; ++i) {
+      UpstreamRecord record;
+      record.id = UpstreamId(std::to_string(i));
+      record.slots = 16;
+      auto view = std::make_shared<UpstreamView>(record);
+      view->requests = requests;
+      made.push_back({view, std::nullopt});
+    }
+    auto& last = *made.back().upstream;
+    for (int i = 0; i < 4; ++i) last.RecordUnreachable(now);
+    return made;
+  };
+  Random random(1);
+  std::set<std::string> first;
+  for (int i = 0; i < 200; ++i) {
+    const auto busy = SpreadOverBusy(candidates(16), random, now);
+    ASSERT_EQ(busy.size(), 40U);
+    first.insert(busy.front().upstream->record.id.Value());
+    const auto idle = SpreadOverBusy(candidates(4), random, now);
+    EXPECT_EQ(idle.front().upstream->record.id, UpstreamId("0"));
+  }
+  EXPECT_GT(first.size(), 8U);
+  EXPECT_EQ(first.count("39"), 0U);
+}
+
 // Guards against pools that are served in a new order although nothing asks for
 // it, and against pools whose routes differ in one respect only.
 TEST(EngineWaitTest, PoolsAreOrderedIfTheirRoutesDiffer) {
