--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 12> kCounters{{
+const std::array<Name, 13> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -52,6 +52,9 @@
     {"dotterellug_gateway_client_refusals_total", "reason",
      "Clients refused to protect the memory or the descriptors of the "
      "instance."},
+    {"dotterellug_gateway_queue_decisions_total", "decision",
+     "Requests that found no capacity in a pool whose routes differ, by pool, "
+     "priority and whether they wait in time, wait late or are refused."},
 }};
 
 const std::array<Name, 18> kLevels{{
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -24,6 +24,8 @@
   kStatedLoads,
   kAvoidances,
   kClientRefusals,
+  // The label is pool/priority/decision.
+  kQueueDecisions,
 };
 
 // What a gateway states as it is now.
