Plan the number of engines of a pool by zone

Cause: the platform takes orders of the number of engines of a pool in a zone. Engines are billed by the second and serve some seconds after the order.

--- a/modules/placement/placement.h
+++ b/modules/placement/placement.h
@@ -25,4 +25,5 @@
 #include "placement/planner/planner.h"
 #include "placement/reservation/engine_record.h"
 #include "placement/reservation/item_key.h"
+#include "placement/scaling/scaling_planner.h"
 #include "placement/slow_start/slow_start_limiter.h"
