Report usage and order engines under the order lease

Cause: the settings section cloudApi asks one daemon at a time to report the usage of each window and to order the number of engines, with a fence.

Change: daemons count requests by window and account, on a time of day that the fleet agrees on, and tell their hub, whose answers have the announced window and the time. An engine listed with remainingMs gets its resumable streams moved 1.5 s before it is gone.

--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -12,6 +12,7 @@
 #include "core/core.h"
 #include "placement/lease/order_lease.h"
 #include "serving/serving.h"
+#include "spend/usage/usage_reporter.h"
 
 namespace dotterellug::gateway {
 
@@ -91,6 +92,29 @@
   std::vector<serving::LoadedModel> models;
 };
 
+// Under which right a call to the platform is made that one daemon at a time
+// makes.
+struct DutyRight {
+  InstanceId holder;
+  std::int64_t fence = 0;
+};
+
+// An order of the number of engines of a pool in a zone.
+struct ScaleOrder {
+  PoolId pool;
+  AvailabilityZoneId zone;
+  std::int64_t desired = 0;
+};
+
+enum class DutyOutcome {
+  kTaken,
+  kFenced,   // a higher fencing number was seen
+  kTooMany,  // the platform accepts no more calls now
+  kRefused,  // another answer; the call is not repeated sooner for it
+  kNotSent,  // no connection
+  kUnknown,  // no answer; may be carried out later
+};
+
 // What the gateway asks of the platform. Replies come on the event loop.
 struct ControlLink {
   std::function<void()> start;
@@ -139,6 +163,20 @@
   std::function<void(const UpstreamId&, const SocketAddress&,
                      std::function<void(Result<EngineState>)>)>
       read_engine;
+  // The reports of usage that were stored; revision 0 if there are none.
+  std::function<void(std::function<void(Result<UsageReportRecord>)>)>
+      read_usage_reports;
+  // Writes if the revision is still `record.revision`; 0 creates. The reply has
+  // the new revision.
+  std::function<void(const UsageReportRecord&,
+                     std::function<void(Result<std::int64_t>)>)>
+      write_usage_reports;
+  std::function<void(const DutyRight&, const SendUsageReport&,
+                     std::function<void(DutyOutcome)>)>
+      send_usage;
+  std::function<void(const DutyRight&, const ScaleOrder&,
+                     std::function<void(DutyOutcome)>)>
+      send_scale;
 };
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -5,6 +5,7 @@
 
 #include "core/variant/overloaded.h"
 #include "daemon/gateway/request_exchange.h"
+#include "daemon/gateway/usage_meter.h"
 
 namespace dotterellug::gateway {
 namespace {
@@ -159,6 +160,7 @@
 auto FleetNode::OnReport(const fleet::FleetReport& report, Timestamp now)
     -> void {
   if (!report.store_positions.empty()) link_->catch_up(report.store_positions);
+  if (context_.usage) context_.usage->OnReport(report, now);
   Send(sender_, Answer(report, now));
   PassGrants(now);
   if (fleet_member_.HasUrgent()) ReportNow();
@@ -206,6 +208,7 @@
   if (holds_back_) summary.store_response_age = kNewsLifetime;
   summary.store_positions = link_->announced_positions();
   summary.changes = journal_.Since(report.upstream_position);
+  if (context_.usage) summary.usage = context_.usage->MakeAnswer();
   return summary;
 }
 
@@ -221,6 +224,7 @@
       const bool from_zone_hub = summary.level == fleet::HubLevel::kZone;
       zone_hub_seen_ = from_zone_hub ? now : Timestamp{};
       link_->catch_up(summary.store_positions);
+      if (context_.usage) context_.usage->OnSummary(summary, now);
       OnNewsOf(summary, now);
     }
     OnAnnouncements(summary, now);
@@ -329,9 +333,30 @@
   report.models = context_.demand.Rates(now);
   report.upstream_position = journal_.Position();
   report.store_positions = link_->announced_positions();
+  if (context_.usage) report.usage = context_.usage->MakeNews(now);
+  report.pools = PoolDemand(now);
   return report;
 }
 
+auto FleetNode::PoolDemand(Timestamp now)
+    -> std::vector<fleet::ReportedPoolDemand> {
+  std::map<PoolId, std::int64_t> waiting;
+  for (const auto& exchange : context_.parked) {
+    const auto* pool = exchange->AwaitedPool();
+    if (pool != nullptr && pool->scaling) ++waiting[pool->id];
+  }
+  const auto slots = context_.pool_demand.Slots(now);
+  for (const auto& [pool, count] : slots) waiting[pool] += 0;
+  std::vector<fleet::ReportedPoolDemand> demand;
+  for (const auto& [pool, count] : waiting) {
+    const auto found = slots.find(pool);
+    const auto used = found == slots.end() ? 0.0 : found->second;
+    demand.push_back({pool, context_.settings.zone,
+                      static_cast<std::int64_t>(used * 1000), count});
+  }
+  return demand;
+}
+
 auto FleetNode::Report() -> void {
   const auto now = MonotonicNow();
   report_soon_ = false;
--- a/daemon/gateway/fleet_node.h
+++ b/daemon/gateway/fleet_node.h
@@ -101,6 +101,9 @@
   auto ScheduleReport(Duration delay) -> void;
   auto Report() -> void;
   auto MakeReport(bool urgent_only, Timestamp now) -> fleet::FleetReport;
+  // Demand of this daemon's callers for pools whose number of engines is
+  // planned.
+  auto PoolDemand(Timestamp now) -> std::vector<fleet::ReportedPoolDemand>;
   auto OnReport(const fleet::FleetReport& report, Timestamp now) -> void;
   auto Answer(const fleet::FleetReport& report, Timestamp now)
       -> fleet::FleetSummary;
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -4,6 +4,7 @@
 
 #include "daemon/gateway/quarantine_page.h"
 #include "daemon/gateway/request_exchange.h"
+#include "daemon/gateway/usage_meter.h"
 
 namespace dotterellug::gateway {
 namespace {
@@ -35,6 +36,8 @@
 // log line: longer than a few ticks.
 constexpr auto kStall = std::chrono::milliseconds(400);
 constexpr auto kClockJump = std::chrono::milliseconds(400);
+// Logged as the remaining time of an upstream that may finish its requests.
+constexpr Duration kNoTime = std::chrono::milliseconds(-1);
 
 }  // namespace
 
@@ -48,6 +51,7 @@
       link_(make_link(Events())),
       copies_(context_, link_),
       orders_(context_, fleet_, link_),
+      duties_(context_, fleet_, orders_, link_),
       callers_(loop,
                [this](std::shared_ptr<eventhttp::ServerSession> session,
                       eventhttp::ServerRequest request) {
@@ -76,6 +80,10 @@
                }),
       tick_(loop),
       lapsed_({settings.bounds.sign_of_life}) {
+  if (settings.duties && settings.duties->metering) {
+    context_.usage = std::make_unique<UsageMeter>(
+        Reporter{settings.instance, incarnation}, *settings.duties);
+  }
   context_.report_now = [this] { fleet_.ReportNow(); };
   context_.catching_up = [this](Timestamp now) {
     return fleet_.CatchingUp(now);
@@ -199,14 +207,19 @@
   const auto known = context_.upstreams.Find(record.id);
   const bool news = !known || known->record.leaving != record.leaving ||
                     known->record.started_ms != record.started_ms;
-  context_.upstreams.Upsert(record, MonotonicNow());
+  const auto now = MonotonicNow();
+  context_.upstreams.Upsert(record, now);
+  if (record.remaining_time) {
+    context_.gone_at[record.id] = now + *record.remaining_time;
+  }
   if (!news) return;
   context_.log.Write(EventRank::kState, "upstream")
       .Add("upstream", record.id.Value())
       .Add("pool", record.pool.Value())
       .Add("address", record.address.Text())
       .Add("state", record.leaving ? "leaving" : "live")
-      .AddMs("cold_ms", record.remaining_cold_duration);
+      .AddMs("cold_ms", record.remaining_cold_duration)
+      .AddMs("remaining_ms", record.remaining_time.value_or(kNoTime));
 }
 
 auto Gateway::RemoveUpstream(const UpstreamId& id, const char* cause,
@@ -335,6 +348,7 @@
               static_cast<double>(
                   context_.upstreams.Backpressure().RestrictedCount(now)));
   metrics.Set(GatewayLevel::kOrderLeaseHeld, orders_.Leading() ? 1 : 0);
+  duties_.SetLevels();
   metrics.Set(GatewayLevel::kStoreAnswerAge, age(lapsed_.LastResponseAt()));
   metrics.Set(GatewayLevel::kHubAnswerAge, age(context_.hub_answered_at));
   metrics.Set(GatewayLevel::kZoneHubDaemons,
@@ -372,8 +386,10 @@
 auto Gateway::Tick() -> void {
   const auto now = MonotonicNow();
   NoteClocks(now);
+  if (context_.usage) context_.usage->Tick(WallNow());
   context_.UpdateQuarantine(now);
   context_.RetryParked(now);
+  context_.MoveStreams(now);
   context_.log.Flush(now);
   for (const auto& id : lapsed_.TakeExpired(now)) {
     RemoveUpstream(id, "lapsed", link_->positions()[1]);
@@ -388,6 +404,7 @@
   if (now - ordered_at_ >= kOrderInterval) {
     ordered_at_ = now;
     orders_.Tick();
+    duties_.Tick();
   }
   fleet_.SetHoldsBack(lapsed_.IsRetaining());
   link_->set_backed(fleet_.Backed());
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "core/core.h"
 #include "daemon/gateway/control_link.h"
 #include "daemon/gateway/copy_exchange.h"
+#include "daemon/gateway/duty_desk.h"
 #include "daemon/gateway/fleet_node.h"
 #include "daemon/gateway/gateway_context.h"
 #include "daemon/gateway/order_desk.h"
@@ -73,6 +74,7 @@
   std::shared_ptr<ControlLink> link_;
   CopyExchange copies_;
   OrderDesk orders_;
+  DutyDesk duties_;
   eventhttp::HttpServer callers_;
   eventhttp::HttpServer readiness_;
   eventhttp::HttpServer metrics_;
--- a/daemon/gateway/gateway_context.cc
+++ b/daemon/gateway/gateway_context.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "daemon/gateway/request_exchange.h"
+#include "daemon/gateway/usage_meter.h"
 
 namespace dotterellug::gateway {
 namespace {
@@ -69,6 +70,10 @@
   if (change.pause > Duration::zero()) line.AddMs("pause_ms", change.pause);
 }
 
+// Streams leave an upstream this long before it is gone. News of it may have
+// taken more than a second through the hubs.
+constexpr auto kMoveTime = std::chrono::milliseconds(1500);
+
 }  // namespace
 
 GatewayContext::GatewayContext(boost::asio::io_context& event_loop,
@@ -97,6 +102,8 @@
   });
 }
 
+GatewayContext::~GatewayContext() = default;
+
 auto GatewayContext::RetryParked(Timestamp now) -> void {
   if (parked.empty()) return;
   const auto waiting = std::exchange(parked, {});
@@ -140,6 +147,21 @@
   }
 }
 
+auto GatewayContext::MoveStreams(Timestamp now) -> void {
+  for (auto entry = gone_at.begin(); entry != gone_at.end();) {
+    const auto& [id, at] = *entry;
+    const auto upstream = upstreams.Find(id);
+    if (!upstream || !upstream->gone_at || now > at + kMoveTime) {
+      entry = gone_at.erase(entry);
+      continue;
+    }
+    if (now >= at - kMoveTime && upstream->requests > 0) {
+      for (const auto& exchange : OpenExchanges()) exchange->MoveFrom(id, now);
+    }
+    ++entry;
+  }
+}
+
 auto GatewayContext::LogBrokenRequests() -> void {
   for (auto* exchange : *open_requests) exchange->LogProcessStopped();
 }
--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -24,12 +24,16 @@
 namespace dotterellug::gateway {
 
 class RequestExchange;
+class UsageMeter;
 
 // What all requests of a gateway share. Used by the event loop's thread only.
 struct GatewayContext {
   GatewayContext(boost::asio::io_context& event_loop,
                  const GatewaySettings& own_settings, Dialect own_dialect,
                  std::uint64_t seed);
+  GatewayContext(const GatewayContext&) = delete;
+  auto operator=(const GatewayContext&) -> GatewayContext& = delete;
+  ~GatewayContext();
 
   // Lets every parked request try to go on; those that still wait stay parked.
   auto RetryParked(Timestamp now) -> void;
@@ -44,6 +48,8 @@
   auto UpdateQuarantine(Timestamp now) -> void;
   // Logs and acts on what has changed in what upstreams ask for.
   auto UpdateBackpressure(Timestamp now) -> void;
+  // Moves resumable streams from upstreams that will be gone soon.
+  auto MoveStreams(Timestamp now) -> void;
   // Logs each request whose answer the end of the process breaks off.
   auto LogBrokenRequests() -> void;
 
@@ -69,10 +75,16 @@
   // quarantined prompt part still ends upstreams. One daemon of the fleet does.
   bool runs_trials = false;
 
+  // Null unless the platform asks for reports of usage.
+  std::unique_ptr<UsageMeter> usage;
+  // Upstreams that will be gone whatever they are running, and when.
+  std::map<UpstreamId, Timestamp> gone_at;
   // Models that engines are about to unload.
   std::set<std::pair<UpstreamId, ModelId>> unloading;
   // What callers ask of each model.
   fleet::DemandMeter demand;
+  // Slot time that callers ask of each pool whose number of engines is planned.
+  fleet::PoolDemandMeter pool_demand;
   // Adapters asked for and not held anywhere, since the last report.
   std::vector<fleet::MissingAdapter> missing_adapters;
   // Requests that wait for tokens or for an upstream, in order of arrival.
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 8> kCounters{{
+const std::array<Name, 9> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -41,9 +41,12 @@
      "Copies of lists in the store asked of other daemons, by outcome."},
     {"dotterellug_gateway_log_lines_dropped_total", "event",
      "Log lines that did not fit the bounds, by event."},
+    {"dotterellug_gateway_duty_calls_total", "call",
+     "Calls to the platform that one daemon at a time makes, by duty and "
+     "outcome."},
 }};
 
-const std::array<Name, 12> kLevels{{
+const std::array<Name, 13> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -68,6 +71,16 @@
     {"dotterellug_gateway_restricted_upstreams", "",
      "Upstreams that state a rate of requests, leave, or asked to be left "
      "alone."},
+    {"dotterellug_gateway_last_usage_window", "",
+     "Highest window whose usage this daemon has reported to the platform; 0 "
+     "if it has reported none."},
+}};
+
+const std::array<Name, 1> kPartLevels{{
+    {"dotterellug_gateway_desired_engines", "subject",
+     "Engines that this daemon has ordered as the holder of the order lease, "
+     "by "
+     "pool and zone; 0 if it holds the lease no more."},
 }};
 
 const std::array<Name, 4> kLatencies{{
@@ -110,6 +123,12 @@
                         .Register(registry_)
                         .Add({});
     }
+    for (std::size_t i = 0; i < kPartLevels.size(); ++i) {
+      part_levels_[i].family = &prometheus::BuildGauge()
+                                    .Name(kPartLevels[i].name)
+                                    .Help(kPartLevels[i].help)
+                                    .Register(registry_);
+    }
     for (std::size_t i = 0; i < kLatencies.size(); ++i) {
       latencies_[i].family = &prometheus::BuildHistogram()
                                   .Name(kLatencies[i].name)
@@ -129,6 +148,14 @@
     levels_[index]->Set(value);
   }
 
+  auto SetPart(std::size_t index, std::string_view part, double value) -> void {
+    const auto add = [&](const std::string& bounded) {
+      return &part_levels_[index].family->Add(
+          {{kPartLevels[index].label, bounded}});
+    };
+    Find(part_levels_[index].series, part, add)->Set(value);
+  }
+
   auto Observe(std::size_t index, std::string_view value, Duration duration)
       -> void {
     const auto add = [&](const std::string& bounded) {
@@ -164,6 +191,7 @@
   prometheus::Registry registry_;
   std::array<Family<prometheus::Counter>, kCounters.size()> counters_;
   std::array<prometheus::Gauge*, kLevels.size()> levels_{};
+  std::array<Family<prometheus::Gauge>, kPartLevels.size()> part_levels_;
   std::array<Family<prometheus::Histogram>, kLatencies.size()> latencies_;
 };
 
@@ -181,6 +209,11 @@
   implementation_->Set(static_cast<std::size_t>(level), value);
 }
 
+auto GatewayMetrics::Set(GatewayPartLevel level, std::string_view part,
+                         double value) -> void {
+  implementation_->SetPart(static_cast<std::size_t>(level), part, value);
+}
+
 auto GatewayMetrics::Observe(GatewayLatency latency, std::string_view value,
                              Duration duration) -> void {
   implementation_->Observe(static_cast<std::size_t>(latency), value, duration);
@@ -192,13 +225,17 @@
 
 auto GatewayMetrics::Descriptions() -> std::vector<MetricDescription> {
   std::vector<MetricDescription> all;
-  all.reserve(kCounters.size() + kLevels.size() + kLatencies.size());
+  all.reserve(kCounters.size() + kLevels.size() + kPartLevels.size() +
+              kLatencies.size());
   for (const auto& name : kCounters) {
     all.push_back(Describe(name, MetricKind::kCounter));
   }
   for (const auto& name : kLevels) {
     all.push_back(Describe(name, MetricKind::kGauge));
   }
+  for (const auto& name : kPartLevels) {
+    all.push_back(Describe(name, MetricKind::kGauge));
+  }
   for (const auto& name : kLatencies) {
     all.push_back(Describe(name, MetricKind::kHistogram));
   }
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -20,6 +20,7 @@
   kStoreCalls,
   kCopyFetches,
   kDroppedLines,
+  kDutyCalls,
 };
 
 // What a gateway states as it is now.
@@ -36,6 +37,13 @@
   kFleetHubDaemons,
   kQuarantinedParts,
   kRestrictedUpstreams,
+  kLastUsageWindow,
+};
+
+// The same with a label.
+enum class GatewayPartLevel {
+  // By pool and zone.
+  kDesiredEngines,
 };
 
 // Durations of requests, as histograms.
@@ -63,6 +71,8 @@
   auto Count(GatewayCounter counter, std::string_view value, double amount = 1)
       -> void;
   auto Set(GatewayLevel level, double value) -> void;
+  // States one part, such as (kDesiredEngines, "pool/zone").
+  auto Set(GatewayPartLevel level, std::string_view part, double value) -> void;
   // `value` is the account or the route; beyond a number of different ones it
   // is counted as "other".
   auto Observe(GatewayLatency latency, std::string_view value,
--- a/daemon/gateway/gateway_settings.h
+++ b/daemon/gateway/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "core/core.h"
@@ -24,6 +25,25 @@
   Duration repeat_window = std::chrono::seconds(10);
 };
 
+// Calls to the platform that are the duty of one daemon at a time: the holder
+// of the order lease.
+struct DutySettings {
+  // Where the platform takes the calls.
+  SocketAddress address;
+  // Calls per second that the platform accepts from all daemons together.
+  double calls_per_second = 0;
+  // Why no call can be made, for the log; empty if they can.
+  std::string fault;
+  // Whether usage is reported, and how.
+  bool metering = false;
+  // Length of the windows of usage.
+  Duration usage_window = std::chrono::seconds(5);
+  // A report of usage is due this long after the end of its window.
+  Duration usage_due = std::chrono::seconds(10);
+  // Whether the number of engines is ordered.
+  bool autoscale = false;
+};
+
 // What one gateway knows about itself before it has read anything.
 struct GatewaySettings {
   InstanceId instance;
@@ -39,6 +59,8 @@
   SocketAddress peers;
   SocketAddress metrics;
   GatewayBounds bounds;
+  // Nothing if the platform asks for no such calls.
+  std::optional<DutySettings> duties;
 };
 
 }  // namespace dotterellug::gateway
--- a/daemon/gateway/order_desk.h
+++ b/daemon/gateway/order_desk.h
@@ -40,6 +40,18 @@
   auto OnLeaseAnnounced(std::int64_t revision) -> void {
     lease_.OnRenewalAnnounced(revision, SuspendAwareNow());
   }
+  // The fencing number for a call to the platform now; nothing if this daemon
+  // must make none.
+  auto FenceForDuty() const -> std::optional<std::int64_t> {
+    return lease_.FenceForOrder(SuspendAwareNow());
+  }
+  // Whether another process may have held the lease before this daemon did.
+  auto HadPredecessor() const -> bool { return lease_.HadPredecessor(); }
+  // The platform has seen a higher fencing number than `fence`. Says nothing
+  // about a right that was acquired since.
+  auto OnDutyFenced(std::int64_t fence) -> void {
+    if (FenceForDuty().value_or(fence) == fence) lease_.OnFenced();
+  }
   // Whether this daemon holds the right to order now.
   auto Leading() const -> bool { return leading_; }
 
--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/text/parse_integer.h"
+#include "daemon/gateway/usage_meter.h"
 
 namespace dotterellug::gateway {
 namespace {
@@ -234,6 +235,14 @@
                         request_.size ? request_.size->Total() : 1, now);
 }
 
+// Until service times are known, the requests in flight tell the demand.
+auto RequestExchange::CountPoolDemand(Timestamp now) -> void {
+  if (pool_ == nullptr || !pool_->scaling) return;
+  const auto time =
+      context_.service_times.Expected(route_->name, MaxOutputTokens());
+  if (time) context_.pool_demand.Count(pool_->id, *time, now);
+}
+
 // Draws the request's tokens from its account. Without them the request waits
 // or is refused.
 auto RequestExchange::SpendTokens(Timestamp now) -> bool {
@@ -393,7 +402,10 @@
 }
 
 auto RequestExchange::Dispatch(Timestamp now) -> void {
-  if (pool_ == nullptr) pool_ = ChoosePool();
+  if (pool_ == nullptr) {
+    pool_ = ChoosePool();
+    CountPoolDemand(now);
+  }
   if (pool_ == nullptr) return Refuse(503, "no_pool", ReturnDelay());
   if (deadline_ - now < kLeastTime) {
     return Refuse(503, "no_time_left", std::nullopt);
@@ -677,6 +689,8 @@
     return HeadVerdict::kReject;
   }
   const auto now = MonotonicNow();
+  // A stream counts when its first event has come.
+  if (answer.has_receipt && !Stream()) CountUsage(attempt.sent_at, now);
   const bool failed = head.status >= 500;
   if (failed) {
     attempt.upstream->RecordFailure(now);
@@ -768,6 +782,7 @@
         attempt.first_event_seen = true;
         attempt.upstream->RecordSuccess(now);
         EndPrefill();
+        CountUsage(now, now);
       }
     }
     session_->SendPiece(whole);
@@ -935,6 +950,11 @@
   context_.UpdateBackpressure(now);
 }
 
+auto RequestExchange::CountUsage(Timestamp began, Timestamp now) -> void {
+  if (!context_.usage || std::exchange(usage_counted_, true)) return;
+  context_.usage->Count(account_, began, now);
+}
+
 auto RequestExchange::RecordBreak(ExchangeEnd end, Timestamp now) -> bool {
   const auto process = UpstreamProcess();
   trace_.BrokenOff(request_,
@@ -959,6 +979,26 @@
   Finish("failed", "quarantined_prompt_part", 0);
 }
 
+auto RequestExchange::MoveFrom(const UpstreamId& id, Timestamp now) -> void {
+  if (done_ || !attempt_ || attempt_->discard) return;
+  if (attempt_->upstream->record.id != id) return;
+  if (!Stream() || !MayRepeat(now) || trial_ || PromptPartQuarantined()) return;
+  // Without another upstream the stream goes on until this one is gone.
+  const auto ranked = Rank(now);
+  if (!ranked || !context_.repeats.TryRetry(pool_->id, now)) return;
+  const auto upstream = Choose(ranked, now);
+  if (!upstream) return;
+  context_.log.Write(EventRank::kState, "stream_moved")
+      .Add("request", request_.id.Value())
+      .Add("from", id.Value())
+      .Add("to", (*upstream)->record.id.Value())
+      .Add("after_event", answering_ ? events_.LastEventId().value_or(-1) : -1);
+  context_.metrics.Count(GatewayCounter::kRepeats, "upstream_leaving");
+  DropAttempt();
+  events_.DiscardPending();
+  SendTo(*upstream, now);
+}
+
 auto RequestExchange::OnCallerGone() -> void {
   if (done_) return;
   const bool at_work = attempt_.has_value();
--- a/daemon/gateway/request_exchange.h
+++ b/daemon/gateway/request_exchange.h
@@ -29,12 +29,19 @@
   auto Retry(Timestamp now) -> bool;
   // Adds the tokens that it waits for to what this daemon asks its hub for.
   auto StateNeed() const -> void;
+  // The pool for whose upstreams it waits; null if it waits for nothing else.
+  auto AwaitedPool() const -> const serving::ServicePool* {
+    return waiting_ == Waiting::kUpstream ? pool_ : nullptr;
+  }
   // Gives the request its final answer unless the answer has begun: the process
   // is about to end.
   auto AnswerBeforeStop() -> void;
   // Ends the request if it has a prompt part that is quarantined now, unless
   // its answer shows that the part works.
   auto OnQuarantine(Timestamp now) -> void;
+  // The upstream will be gone soon, whatever it is running. Continues a
+  // resumable stream at another one if there is one.
+  auto MoveFrom(const UpstreamId& id, Timestamp now) -> void;
   // Logs that the process ends before the answer does.
   auto LogProcessStopped() -> void;
 
@@ -76,6 +83,8 @@
   auto Begin(Timestamp now) -> void;
   auto Identify() -> bool;
   auto CountDemand(Timestamp now) -> void;
+  // Counts the slot time that the request asks of its pool.
+  auto CountPoolDemand(Timestamp now) -> void;
   auto SpendTokens(Timestamp now) -> bool;
   // Rejects a request with a quarantined prompt part. Returns whether it did.
   auto RejectQuarantined(Timestamp now) -> bool;
@@ -99,6 +108,8 @@
   // Learns from the head of the attempt's answer which requests its upstream
   // takes.
   auto RecordBackpressure(Timestamp now) -> void;
+  // Counts the request for the reports of usage; it began to run at `began`.
+  auto CountUsage(Timestamp began, Timestamp now) -> void;
   // Learns from an attempt that its upstream broke off. Returns whether its
   // prompt is suspected to have ended other upstreams, too.
   auto RecordBreak(eventhttp::ExchangeEnd end, Timestamp now) -> bool;
@@ -233,6 +244,8 @@
   // Media type of the answer that is passed on.
   std::string stream_type_;
   bool done_ = false;
+  // Whether it is contained in the reports of usage.
+  bool usage_counted_ = false;
   serving::EventSplitter events_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<std::unordered_set<RequestExchange*>> open_requests_;
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -14,12 +14,15 @@
 // isolated daemons therefore stay within the limit together, apart from a
 // bounded excess while daemons change their hub.
 //
-// Depends on core, budget and serving. Uses no threads, sockets or clocks.
+// Depends on core, budget, quarantine, serving and spend. Uses no threads,
+// sockets or clocks.
 
 #include "fleet/announcements/model_announcements.h"
 #include "fleet/changes/upstream_change_log.h"
+#include "fleet/clock/fleet_clock.h"
 #include "fleet/copies/copy_fetch_planner.h"
 #include "fleet/demand/demand_meter.h"
+#include "fleet/demand/pool_demand_meter.h"
 #include "fleet/grants/granted_tokens.h"
 #include "fleet/grants/token_queue.h"
 #include "fleet/grants/upstream_permits.h"
--- a/modules/fleet/hub/fleet_hub.h
+++ b/modules/fleet/hub/fleet_hub.h
@@ -82,6 +82,10 @@
   auto Demand(Timestamp now) const -> std::map<ModelId, TotalDemand> {
     return reports_.Demand(now);
   }
+  // Demand for pools at these daemons, by pool and zone.
+  auto PoolDemandByZone(Timestamp now) const -> ReportAggregator::PoolDemands {
+    return reports_.PoolDemandByZone(now);
+  }
   // Requests in flight at an upstream from these daemons.
   auto RequestsInFlight(const UpstreamId& upstream) const -> std::int64_t;
   // Whether at least two of these daemons recently failed to reach the
--- a/modules/fleet/hub/report_aggregator.cc
+++ b/modules/fleet/hub/report_aggregator.cc
@@ -44,6 +44,7 @@
   stored.token_requests.clear();
   stored.prompt_evidence.clear();
   stored.backpressure.clear();
+  stored.usage.reset();
   UpdateTotals(stored, 1);
   last_reports_[report.from] = now;
   for (const auto& daemon : report.included_daemons) {
@@ -127,6 +128,19 @@
   return demand;
 }
 
+auto ReportAggregator::PoolDemandByZone(Timestamp now) const -> PoolDemands {
+  PoolDemands demands;
+  for (const auto& [id, reporter] : reporters_) {
+    if (now - reporter.received_at > report_ttl_) continue;
+    for (const auto& pool : reporter.report.pools) {
+      auto& total = demands[{pool.pool, pool.zone}];
+      total.slots += static_cast<double>(pool.slot_ms_per_second) / 1000;
+      total.waiting += pool.waiting;
+    }
+  }
+  return demands;
+}
+
 auto ReportAggregator::LoadsFrom(const InstanceId& daemon) const
     -> const std::vector<ReportedLoad>& {
   static const std::vector<ReportedLoad> none;
--- a/modules/fleet/hub/report_aggregator.h
+++ b/modules/fleet/hub/report_aggregator.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "core/core.h"
@@ -43,6 +44,17 @@
   // Total demand by model. The demand of a daemon that has stopped reporting
   // decays.
   auto Demand(Timestamp now) const -> std::map<ModelId, TotalDemand>;
+  // Demand for a pool of engines from the daemons of one zone.
+  struct PoolDemand {
+    // Engine slots that arriving requests occupy on average.
+    double slots = 0;
+    std::int64_t waiting = 0;
+  };
+  using PoolDemands =
+      std::map<std::pair<PoolId, AvailabilityZoneId>, PoolDemand>;
+  // Demand by pool and zone. That of a daemon that has stopped reporting does
+  // not count.
+  auto PoolDemandByZone(Timestamp now) const -> PoolDemands;
   // Load by upstream from all reporting daemons.
   auto Loads() const -> const std::map<UpstreamId, ReportedLoad>& {
     return loads_;
--- a/modules/fleet/hub/zone_hub.cc
+++ b/modules/fleet/hub/zone_hub.cc
@@ -87,6 +87,18 @@
     report.models.push_back(
         {id, static_cast<std::int64_t>(total.recent), sustained});
   }
+  auto pools = reports_.PoolDemandByZone(now);
+  for (const auto& own : report.pools) {
+    auto& total = pools[{own.pool, own.zone}];
+    total.slots += static_cast<double>(own.slot_ms_per_second) / 1000;
+    total.waiting += own.waiting;
+  }
+  report.pools.clear();
+  for (const auto& [subject, total] : pools) {
+    report.pools.push_back({subject.first, subject.second,
+                            static_cast<std::int64_t>(total.slots * 1000),
+                            total.waiting});
+  }
   for (const auto& [id, count] : reports_.Unreachable()) {
     report.unreachable.insert(
         report.unreachable.end(),
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -1,6 +1,7 @@
 #include "fleet/messages/fleet_codec.h"
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -21,8 +22,9 @@
 constexpr std::size_t kFirstReportSize = 10;
 constexpr std::size_t kFirstSummarySize = 15;
 // Index of the evidence on prompt parts. Behind it come what is known of the
-// requests that upstreams take, the tokens of upstreams' rates and, in reports,
-// store positions. These elements are left out if none of them has content.
+// requests that upstreams take, the tokens of upstreams' rates, in reports the
+// store positions, and the news of usage. These elements are left out if none
+// of them has content.
 constexpr std::size_t kReportEvidence = 14;
 constexpr std::size_t kSummaryEvidence = 19;
 
@@ -77,18 +79,29 @@
   return ids;
 }
 
+// Encodes an age that may be unknown.
+auto EncodeAge(const std::optional<Duration>& age) -> std::int64_t {
+  return age ? age->count() : kUnknownAge;
+}
+
+auto DecodeAge(const Json& value) -> std::optional<Duration> {
+  const auto age = value.get<std::int64_t>();
+  if (age < 0) return std::nullopt;
+  return Duration(age);
+}
+
 auto EncodeRecord(const serving::UpstreamRecord& record) -> Json {
   auto models = Json::array();
   for (const auto& model : record.models) {
     models.push_back(Json::array(
         {model.id.Value(), model.version, EncodeIds(model.adapters)}));
   }
-  return Json::array({record.id.Value(), record.pool.Value(),
-                      record.address.Text(), record.zone.Value(), record.slots,
-                      record.leaving, record.remaining_cold_duration.count(),
-                      record.started_ms, record.command_sequence,
-                      std::move(models), EncodeIds(record.in_memory),
-                      EncodeIds(record.on_disk)});
+  return Json::array(
+      {record.id.Value(), record.pool.Value(), record.address.Text(),
+       record.zone.Value(), record.slots, record.leaving,
+       record.remaining_cold_duration.count(), record.started_ms,
+       record.command_sequence, std::move(models), EncodeIds(record.in_memory),
+       EncodeIds(record.on_disk), EncodeAge(record.remaining_time)});
 }
 
 auto DecodeRecord(const Json& list) -> serving::UpstreamRecord {
@@ -110,6 +123,7 @@
   }
   record.in_memory = DecodeIds<std::set<ModelId>>(list.at(10));
   record.on_disk = DecodeIds<std::set<ModelId>>(list.at(11));
+  if (list.size() > 12) record.remaining_time = DecodeAge(list[12]);
   return record;
 }
 
@@ -133,17 +147,6 @@
   return changes;
 }
 
-// Encodes an age that may be unknown.
-auto EncodeAge(const std::optional<Duration>& age) -> std::int64_t {
-  return age ? age->count() : kUnknownAge;
-}
-
-auto DecodeAge(const Json& value) -> std::optional<Duration> {
-  const auto age = value.get<std::int64_t>();
-  if (age < 0) return std::nullopt;
-  return Duration(age);
-}
-
 // Encodes the evidence on each prompt part as an array that ends with five
 // elements for each crash.
 auto EncodeEvidence(const std::vector<quarantine::SharedEvidence>& evidence)
@@ -270,6 +273,77 @@
   }
 }
 
+// Encodes the time, the announced window, the names of accounts and, for each
+// row, its process, its window and pairs of the index of an account and its
+// count. A zone hub's report has some thousand counts, so that names are not
+// repeated.
+auto EncodeUsage(const std::optional<UsageNews>& usage) -> Json {
+  if (!usage) return Json::array();
+  std::map<ClientAccountId, std::size_t> indices;
+  auto accounts = Json::array();
+  auto rows = Json::array();
+  for (const auto& row : usage->rows) {
+    auto entry =
+        Json::array({row.reporter.instance.Value(),
+                     row.reporter.incarnation.Value(), row.window.Value()});
+    for (const auto& [account, count] : row.counts) {
+      const auto [index, added] = indices.emplace(account, indices.size());
+      if (added) accounts.push_back(account.Value());
+      entry.push_back(index->second);
+      entry.push_back(count);
+    }
+    rows.push_back(std::move(entry));
+  }
+  return Json::array({usage->time.time_since_epoch().count(),
+                      usage->announced_window.Value(), std::move(accounts),
+                      std::move(rows)});
+}
+
+auto DecodeUsage(const Json& list) -> std::optional<UsageNews> {
+  constexpr std::size_t kRowElements = 3;
+  if (list.empty()) return std::nullopt;
+  UsageNews usage;
+  usage.time = FleetTime(Duration(list.at(0).get<std::int64_t>()));
+  usage.announced_window = UsageWindow(list.at(1).get<std::int64_t>());
+  const auto& accounts = list.at(2);
+  for (const auto& entry : list.at(3)) {
+    WindowUsageRow row;
+    row.reporter.instance = InstanceId(entry.at(0).get<std::string>());
+    row.reporter.incarnation = Incarnation(entry.at(1).get<std::int64_t>());
+    row.window = UsageWindow(entry.at(2).get<std::int64_t>());
+    for (auto i = kRowElements; i + 1 < entry.size(); i += 2) {
+      const auto& name = accounts.at(entry[i].get<std::size_t>());
+      row.counts[ClientAccountId(name.get<std::string>())] =
+          entry[i + 1].get<std::int64_t>();
+    }
+    usage.rows.push_back(std::move(row));
+  }
+  return usage;
+}
+
+// Encodes four elements for each pool and zone.
+auto EncodePoolDemand(const std::vector<ReportedPoolDemand>& pools) -> Json {
+  auto list = Json::array();
+  for (const auto& demand : pools) {
+    list.push_back(demand.pool.Value());
+    list.push_back(demand.zone.Value());
+    list.push_back(demand.slot_ms_per_second);
+    list.push_back(demand.waiting);
+  }
+  return list;
+}
+
+auto DecodePoolDemand(const Json& list) -> std::vector<ReportedPoolDemand> {
+  std::vector<ReportedPoolDemand> pools;
+  for (std::size_t i = 0; i + 3 < list.size(); i += 4) {
+    pools.push_back({PoolId(list[i].get<std::string>()),
+                     AvailabilityZoneId(list[i + 1].get<std::string>()),
+                     list[i + 2].get<std::int64_t>(),
+                     list[i + 3].get<std::int64_t>()});
+  }
+  return pools;
+}
+
 // Appends the optional elements unless all of them are empty.
 auto AppendOptional(Json& message, std::vector<Json> elements) -> void {
   const bool empty =
@@ -311,7 +385,8 @@
   AppendOptional(message, {EncodeEvidence(report.prompt_evidence),
                            EncodeBackpressure(report.backpressure),
                            EncodeUpstreamRequests(report.token_requests),
-                           report.store_positions});
+                           report.store_positions, EncodeUsage(report.usage),
+                           EncodePoolDemand(report.pools)});
   return message;
 }
 
@@ -349,7 +424,8 @@
        EncodeAge(summary.lease_holder_age), std::move(queued)});
   AppendOptional(message, {EncodeEvidence(summary.prompt_evidence),
                            EncodeBackpressure(summary.backpressure),
-                           EncodeUpstreamGrants(summary.grants)});
+                           EncodeUpstreamGrants(summary.grants),
+                           EncodeUsage(summary.usage)});
   return message;
 }
 
@@ -401,6 +477,12 @@
     report.store_positions =
         list[kReportEvidence + 3].get<std::vector<std::int64_t>>();
   }
+  if (list.size() > kReportEvidence + 4) {
+    report.usage = DecodeUsage(list[kReportEvidence + 4]);
+  }
+  if (list.size() > kReportEvidence + 5) {
+    report.pools = DecodePoolDemand(list[kReportEvidence + 5]);
+  }
   return report;
 }
 
@@ -449,6 +531,9 @@
     summary.backpressure = DecodeBackpressure(list[kSummaryEvidence + 1]);
     DecodeUpstreamGrants(list[kSummaryEvidence + 2], summary.grants);
   }
+  if (list.size() > kSummaryEvidence + 3) {
+    summary.usage = DecodeUsage(list[kSummaryEvidence + 3]);
+  }
   return summary;
 }
 
--- a/modules/fleet/messages/fleet_messages.h
+++ b/modules/fleet/messages/fleet_messages.h
@@ -7,9 +7,11 @@
 #include <vector>
 
 #include "core/core.h"
+#include "core/time/fleet_time.h"
 #include "fleet/changes/upstream_change_log.h"
 #include "quarantine/quarantine.h"
 #include "serving/serving.h"
+#include "spend/usage/window_usage.h"
 
 namespace dotterellug::fleet {
 
@@ -64,6 +66,31 @@
 // fleet, all daemons report to the fleet hub.
 enum class HubLevel : std::uint8_t { kZone, kFleet };
 
+// Demand for the engines of a pool from the daemons of a zone.
+struct ReportedPoolDemand {
+  PoolId pool;
+  AvailabilityZoneId zone;
+  // Time in engine slots that arriving requests take, in milliseconds per
+  // second; decayed with a time constant of 2 s.
+  std::int64_t slot_ms_per_second = 0;
+  // Requests that wait in daemons for an upstream.
+  std::int64_t waiting = 0;
+};
+
+// What daemons tell each other for the reports of usage. Sent only where the
+// platform asks for such reports.
+struct UsageNews {
+  // In a report, the sender's own clock; in a summary, the time that the hub
+  // considers right.
+  FleetTime time{};
+  // The highest window whose report a holder of the order lease has announced
+  // that it will send, as far as the sender knows.
+  UsageWindow announced_window;
+  // In reports: what the sender counted, and what was reported to it as the
+  // zone hub.
+  std::vector<WindowUsageRow> rows;
+};
+
 // A daemon's periodic report to its hub. The load of upstreams is sent in full
 // each time, so the next report compensates for a lost one. A token request is
 // sent only once; if it is lost, the sender computes its shortfall anew for a
@@ -100,6 +127,9 @@
   // contain it as well, so that a hub knows the rates of which tokens are
   // requested.
   std::vector<serving::SharedBackpressure> backpressure;
+  std::optional<UsageNews> usage;
+  // Demand for pools whose number of engines is planned.
+  std::vector<ReportedPoolDemand> pools;
 };
 
 // Tokens of a rate limit that the hub grants.
@@ -172,6 +202,7 @@
   std::vector<quarantine::SharedEvidence> prompt_evidence;
   // What the hub knows of the requests that upstreams take.
   std::vector<serving::SharedBackpressure> backpressure;
+  std::optional<UsageNews> usage;
 };
 
 using FleetMessage = std::variant<FleetReport, FleetSummary>;
--- a/modules/serving/catalog/serving_catalog.h
+++ b/modules/serving/catalog/serving_catalog.h
@@ -101,6 +101,14 @@
   std::vector<ServedModel> models;
 };
 
+// How many engines of a pool the platform may be asked to run in each zone.
+struct PoolScaling {
+  std::int64_t min_engines = 1;
+  std::int64_t max_engines = 1;
+  // Time from an order until a new engine serves.
+  Duration boot_time = std::chrono::seconds(6);
+};
+
 // A group of upstreams that serve the same requests.
 struct ServicePool {
   PoolId id;
@@ -111,6 +119,8 @@
   // all daemons together; 0 if upstreams of the pool have no cold phase.
   double cold_requests_per_second = 0;
   std::optional<EngineCapacity> engine;
+  // Nothing if the number of engines is not to be changed.
+  std::optional<PoolScaling> scaling;
 };
 
 // Limits on the requests and connections of callers.
--- a/modules/serving/fleet/upstream_table.cc
+++ b/modules/serving/fleet/upstream_table.cc
@@ -20,6 +20,8 @@
     entry->record = record;
   }
   entry->cold_until = now + record.remaining_cold_duration;
+  entry->gone_at.reset();
+  if (record.remaining_time) entry->gone_at = now + *record.remaining_time;
 }
 
 auto UpstreamTable::Remove(const UpstreamId& id) -> void {
--- a/modules/serving/fleet/upstream_view.h
+++ b/modules/serving/fleet/upstream_view.h
@@ -42,6 +42,9 @@
   // store.
   std::set<ModelId> in_memory;
   std::set<ModelId> on_disk;
+  // Time until it is gone whatever it is running, as of the time at which the
+  // record was read; nothing if it may finish its requests.
+  std::optional<Duration> remaining_time{};
 };
 
 // Load of an upstream from all other daemons, as last reported to this daemon.
@@ -60,6 +63,8 @@
 
   UpstreamRecord record;
   Timestamp cold_until{};
+  // When it is gone whatever it is running, if that is known.
+  std::optional<Timestamp> gone_at{};
   // Requests and tokens that this daemon has in flight there.
   std::int64_t requests = 0;
   std::int64_t tokens = 0;
