--- a/daemon/gateway/gateway_context.h
+++ b/daemon/gateway/gateway_context.h
@@ -25,6 +25,7 @@
 namespace dotterellug::gateway {
 
 class RequestExchange;
+class UsageMeter;
 
 // The requests of one pool that wait for capacity, and the order in which they
 // get it.
@@ -39,6 +40,9 @@
   GatewayContext(boost::asio::io_context& event_loop,
                  const GatewaySettings& own_settings, Dialect own_dialect,
                  std::uint64_t seed);
+  GatewayContext(const GatewayContext&) = delete;
+  auto operator=(const GatewayContext&) -> GatewayContext& = delete;
+  ~GatewayContext();
 
   // Lets every parked request try to go on; those that still wait stay parked.
   auto RetryParked(Timestamp now) -> void;
@@ -63,6 +67,8 @@
   // descriptors of the instance. `client` is its address or its account.
   auto CountRefusal(eventhttp::ClientRefusal refusal, const std::string& client)
       -> void;
+  // Moves resumable streams from upstreams that will be gone soon.
+  auto MoveStreams(Timestamp now) -> void;
   // Logs each request whose answer the end of the process breaks off.
   auto LogBrokenRequests() -> void;
 
@@ -92,10 +98,16 @@
   // quarantined prompt part still ends upstreams. One daemon of the fleet does.
   bool runs_trials = false;
 
+  // Null unless the platform asks for reports of usage.
+  std::unique_ptr<UsageMeter> usage;
+  // Upstreams that will be gone whatever they are running, and when.
+  std::map<UpstreamId, Timestamp> gone_at;
   // Models that engines are about to unload.
   std::set<std::pair<UpstreamId, ModelId>> unloading;
   // What callers ask of each model.
   fleet::DemandMeter demand;
+  // Slot time that callers ask of each pool whose number of engines is planned.
+  fleet::PoolDemandMeter pool_demand;
   // Adapters asked for and not held anywhere, since the last report.
   std::vector<fleet::MissingAdapter> missing_adapters;
   // Requests that wait for tokens or for an upstream, in order of arrival.
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   const char* help;
 };
 
-const std::array<Name, 13> kCounters{{
+const std::array<Name, 14> kCounters{{
     {"dotterellug_gateway_requests_total", "outcome",
      "Requests that ended: ok, refused, failed or cancelled."},
     {"dotterellug_gateway_causes_total", "cause",
@@ -55,9 +55,12 @@
     {"dotterellug_gateway_queue_decisions_total", "decision",
      "Requests that found no capacity in a pool whose routes differ, by pool, "
      "priority and whether they wait in time, wait late or are refused."},
+    {"dotterellug_gateway_duty_calls_total", "call",
+     "Calls to the platform that one daemon at a time makes, by duty and "
+     "outcome."},
 }};
 
-const std::array<Name, 18> kLevels{{
+const std::array<Name, 19> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -97,6 +100,16 @@
      "Bound on the memory that clients cause; 0 for none."},
     {"dotterellug_gateway_client_connections", "",
      "Open connections of callers."},
+    {"dotterellug_gateway_last_usage_window", "",
+     "Highest window whose usage this daemon has reported to the platform; 0 "
+     "if it has reported none."},
+}};
+
+const std::array<Name, 1> kPartLevels{{
+    {"dotterellug_gateway_desired_engines", "subject",
+     "Engines that this daemon has ordered as the holder of the order lease, "
+     "by "
+     "pool and zone; 0 if it holds the lease no more."},
 }};
 
 const Name kMemory{"dotterellug_gateway_client_memory_bytes", "use",
@@ -146,6 +159,12 @@
                           .Name(kMemory.name)
                           .Help(kMemory.help)
                           .Register(registry_);
+    for (std::size_t i = 0; i < kPartLevels.size(); ++i) {
+      part_levels_[i].family = &prometheus::BuildGauge()
+                                    .Name(kPartLevels[i].name)
+                                    .Help(kPartLevels[i].help)
+                                    .Register(registry_);
+    }
     for (std::size_t i = 0; i < kLatencies.size(); ++i) {
       latencies_[i].family = &prometheus::BuildHistogram()
                                   .Name(kLatencies[i].name)
@@ -172,6 +191,14 @@
     Find(memory_.series, use, add)->Set(bytes);
   }
 
+  auto SetPart(std::size_t index, std::string_view part, double value) -> void {
+    const auto add = [&](const std::string& bounded) {
+      return &part_levels_[index].family->Add(
+          {{kPartLevels[index].label, bounded}});
+    };
+    Find(part_levels_[index].series, part, add)->Set(value);
+  }
+
   auto Observe(std::size_t index, std::string_view value, Duration duration)
       -> void {
     const auto add = [&](const std::string& bounded) {
@@ -208,6 +235,7 @@
   std::array<Family<prometheus::Counter>, kCounters.size()> counters_;
   std::array<prometheus::Gauge*, kLevels.size()> levels_{};
   Family<prometheus::Gauge> memory_;
+  std::array<Family<prometheus::Gauge>, kPartLevels.size()> part_levels_;
   std::array<Family<prometheus::Histogram>, kLatencies.size()> latencies_;
 };
 
@@ -229,6 +257,11 @@
   implementation_->SetMemory(use, bytes);
 }
 
+auto GatewayMetrics::Set(GatewayPartLevel level, std::string_view part,
+                         double value) -> void {
+  implementation_->SetPart(static_cast<std::size_t>(level), part, value);
+}
+
 auto GatewayMetrics::Observe(GatewayLatency latency, std::string_view value,
                              Duration duration) -> void {
   implementation_->Observe(static_cast<std::size_t>(latency), value, duration);
@@ -240,7 +273,8 @@
 
 auto GatewayMetrics::Descriptions() -> std::vector<MetricDescription> {
   std::vector<MetricDescription> all;
-  all.reserve(kCounters.size() + kLevels.size() + kLatencies.size() + 1);
+  all.reserve(kCounters.size() + kLevels.size() + kPartLevels.size() +
+              kLatencies.size() + 1);
   for (const auto& name : kCounters) {
     all.push_back(Describe(name, MetricKind::kCounter));
   }
@@ -248,6 +282,9 @@
     all.push_back(Describe(name, MetricKind::kGauge));
   }
   all.push_back(Describe(kMemory, MetricKind::kGauge));
+  for (const auto& name : kPartLevels) {
+    all.push_back(Describe(name, MetricKind::kGauge));
+  }
   for (const auto& name : kLatencies) {
     all.push_back(Describe(name, MetricKind::kHistogram));
   }
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -26,6 +26,7 @@
   kClientRefusals,
   // The label is pool/priority/decision.
   kQueueDecisions,
+  kDutyCalls,
 };
 
 // What a gateway states as it is now.
@@ -48,6 +49,13 @@
   kAvoidedUpstreams,
   kMemoryLimit,
   kClientConnections,
+  kLastUsageWindow,
+};
+
+// The same with a label.
+enum class GatewayPartLevel {
+  // By pool and zone.
+  kDesiredEngines,
 };
 
 // Durations of requests, as histograms.
@@ -77,6 +85,8 @@
   auto Set(GatewayLevel level, double value) -> void;
   // Sets the bytes that clients cause for a use.
   auto SetMemory(std::string_view use, double bytes) -> void;
+  // States one part, such as (kDesiredEngines, "pool/zone").
+  auto Set(GatewayPartLevel level, std::string_view part, double value) -> void;
   // `value` is the account or the route; beyond a number of different ones it
   // is counted as "other".
   auto Observe(GatewayLatency latency, std::string_view value,
