--- a/daemon/gateway/fleet_node.cc
+++ b/daemon/gateway/fleet_node.cc
@@ -108,6 +108,9 @@
 }
 
 auto FleetNode::HasNews() const -> bool {
+  // The other daemons learn of changes from this one, so it must not wait until
+  // the news of the hub before it are stale.
+  if (hub_chosen_ == context_.settings.instance) return false;
   const auto lifetime =
       HasZoneHub() ? Duration(kRelayedNewsLifetime) : Duration(kNewsLifetime);
   return MonotonicNow() - news_current_at_ < lifetime;
--- a/modules/admission/tests/pool_simulation.h
+++ b/modules/admission/tests/pool_simulation.h
@@ -325,8 +325,8 @@
     const auto& daemon = daemons_[call.daemon];
     std::int64_t fewest = slots_;
     for (std::size_t i = 0; i < engines_.size(); ++i) {
-      if (!Stopped(i))
-        fewest = std::min(fewest, daemon.own[i] + daemon.others[i]);
+      if (Stopped(i)) continue;
+      fewest = std::min(fewest, daemon.own[i] + daemon.others[i]);
     }
     // As SpreadOverBusy.
     const bool spreads = order_ == SimulatedOrder::kAdmission && spreads_ &&
--- a/modules/admission/tests/waiting_queue_tests.cc
+++ b/modules/admission/tests/waiting_queue_tests.cc
@@ -266,6 +266,7 @@
   Comparison both{{SimulatedOrder::kArrival, 4, 12, 16},
                   {SimulatedOrder::kAdmission, 4, 12, 16}};
   std::vector<std::string> names;
+  names.reserve(classes.size());
   for (const auto& kind : classes) names.push_back(kind.name);
   for (auto* simulation : {&both.arrival, &both.admission}) {
     if (stopped > 0) simulation->StopEngines(stopped, 5, 15);
@@ -368,8 +369,10 @@
   refused.work_per_second = 16;
   refused.longest = std::chrono::seconds(60);
   Random random(1);
+  constexpr int kRefused = 100;
   std::vector<double> returns;
-  for (int i = 0; i < 100; ++i) {
+  returns.reserve(kRefused);
+  for (int i = 0; i < kRefused; ++i) {
     returns.push_back(
         ToSeconds(schedule.Next(refused, random.Uniform(), At(0))));
   }
--- a/modules/eventhttp/tests/client_tests.cc
+++ b/modules/eventhttp/tests/client_tests.cc
@@ -413,7 +413,7 @@
         InvalidBeginning{"Version2_0", "HTTP/2.0 200 OK"},
         InvalidBeginning{"LowerCaseVersion", "http/1.1 200 OK"},
         InvalidBeginning{"ZeroByteInReason",
-                         std::string("HTTP/1.1 200 O\0K", 17)},
+                         std::string("HTTP/1.1 200 O\0K", 16)},
         InvalidBeginning{"EscapeInReason", "HTTP/1.1 200 O\x1bK"},
         InvalidBeginning{"DeleteInReason", "HTTP/1.1 200 O\x7fK"},
         InvalidBeginning{"LineFeedInReason", "HTTP/1.1 200 O\nK"},
--- a/modules/serving/fleet/upstream_view.h
+++ b/modules/serving/fleet/upstream_view.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "core/core.h"
+#include "serving/fleet/response_suspicion.h"
 #include "serving/load/stated_load.h"
 #include "serving/load/work_factor.h"
-#include "serving/fleet/response_suspicion.h"
 
 namespace dotterellug::serving {
 
