Leave the spread of choices to the selector where factors are stated

Cause: in pools whose engines state a work factor the selector compares a few random engines, and SpreadOverBusy tried a random quarter of them before its order, which undid the preference of the own zone. Change: SpreadOverBusy applies to pools without stated factors only.

--- a/daemon/gateway/request_exchange.cc
+++ b/daemon/gateway/request_exchange.cc
@@ -415,9 +415,13 @@
     -> tl::expected<serving::UpstreamTable::Entry, SelectionFailure> {
   without_permit_.clear();
   if (!ranked) return tl::unexpected(ranked.error());
+  // Where upstreams state work factors, the selector compares a few random ones
+  // of them already; spreading once more would undo its preference of the zone.
+  const bool spreads =
+      ordered_ && !context_.upstreams.StatesWorkFactors(pool_->id);
   const auto candidates =
-      ordered_ ? serving::SpreadOverBusy(*ranked, context_.random, now)
-               : *ranked;
+      spreads ? serving::SpreadOverBusy(*ranked, context_.random, now)
+              : *ranked;
   for (const auto& candidate : candidates) {
     if (Admit(*candidate.upstream, now)) return candidate.upstream;
   }
