--- a/modules/placement/scaling/scaling_planner.h
+++ b/modules/placement/scaling/scaling_planner.h
@@ -66,8 +66,10 @@
   // are added. A swing that ends before is over before an engine could help.
   double up_fraction = 0.6;
   // Demand must have been low for so many boot times before engines are taken
-  // away, and a boot time lies between two steps.
-  double down_boot_times = 2.5;
+  // away, and a boot time lies between two steps. An engine's models go with
+  // it, and loading them elsewhere costs callers more than its idle time does
+  // unless demand stays low for about a minute.
+  double down_boot_times = 10;
   // Largest part of the engines that one step takes away; at least one engine.
   double down_step = 0.25;
   // Utilisation after a step down must stay below this part of the target, so
