--- a/review/standins-2/crowd_case.cc
+++ b/review/standins-2/crowd_case.cc
@@ -201,7 +201,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   const char* trouble = std::getenv("TROUBLE");
   const bool calm = trouble != nullptr && std::string(trouble) == "0";
-  review::Record record(std::string(argv[1]) + "/record.txt");
+  review::Record record(argv[1]);
   // Threads of the stand-ins use them until the process ends.
   auto& store = *new review::Store(record);
   store.Put("config", "main", MakeConfiguration());
@@ -233,7 +233,9 @@
     if (!calm) clients.Run(crowd_ends);
   });
   record.Line(calm ? "no untrusted clients"
-                   : std::to_string(kClients) + " untrusted clients come");
+                   : std::to_string(kClients) +
+                         " untrusted clients come, each with the head of a "
+                         "chunked request and 10 of 32 bytes of its chunk");
   review::SleepFor(kSettleSeconds);
   counts_now = true;
   int questions = 0;
--- a/review/standins-2/platform_standin.cc
+++ b/review/standins-2/platform_standin.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -469,6 +470,8 @@
   process_ = ::fork();
   if (process_ == 0) {
     // Other threads may hold locks, so only system calls follow.
+    // The daemon does not outlive this program, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
     ::execve(program.c_str(), arguments.data(), environment.data());
--- a/review/standins-2/sent_ahead_case.cc
+++ b/review/standins-2/sent_ahead_case.cc
@@ -86,7 +86,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   const char* trouble = std::getenv("TROUBLE");
   const bool calm = trouble != nullptr && std::string(trouble) == "0";
-  review::Record record(std::string(argv[1]) + "/record.txt");
+  review::Record record(argv[1]);
   // Threads of the stand-ins use them until the process ends.
   auto& store = *new review::Store(record);
   store.Put("config", "main", MakeConfiguration());
--- a/review/standins-2/small_fields_case.cc
+++ b/review/standins-2/small_fields_case.cc
@@ -99,7 +99,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   const char* trouble = std::getenv("TROUBLE");
   const bool calm = trouble != nullptr && std::string(trouble) == "0";
-  review::Record record(std::string(argv[1]) + "/record.txt");
+  review::Record record(argv[1]);
   // Threads of the stand-ins use it until the process ends.
   auto& store = *new review::Store(record);
   store.Put("config", "main", MakeConfiguration());
@@ -133,6 +133,9 @@
     untrusted.push_back(std::make_unique<review::Connection>(descriptor));
     untrusted.back()->Send(UnfinishedRequest(i));
   }
+  record.Line("each sends: " + UnfinishedRequest(0).substr(0, 160) + " ... (" +
+              std::to_string(UnfinishedRequest(0).size()) +
+              " bytes in all, head and unfinished body)");
   record.Line("untrusted clients: " + std::to_string(untrusted.size()) +
               " chunked bodies are open");
   review::SleepFor(4);
