--- a/extras/soak/tests/start_tests.cc
+++ b/extras/soak/tests/start_tests.cc
@@ -5,17 +5,12 @@
 #include <unistd.h>
 
 #include <array>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
-#include <filesystem>
 #include <fstream>
 #include <set>
-#include <thread>
 
-#include "platform/standins/platform_documents.h"
-#include "platform/standins/store_standin.h"
-#include "soak/daemon_process.h"
+#include "soak/tests/daemon_fixture.h"
 
 namespace dotterellug::soak {
 namespace {
@@ -35,59 +30,8 @@
   return libraries;
 }
 
-// A daemon as a process of its own, from its first moments on.
-class StartTest : public ::testing::Test {
- protected:
-  StartTest() {
-    const auto process = static_cast<unsigned>(::getpid());
-    place_ = {"d1",
-              "127." + std::to_string(20 + process % 200) + "." +
-                  std::to_string(process / 200 % 250) + ".77",
-              "a", store_.Address()};
-    folder_ = std::filesystem::temp_directory_path() /
-              ("dotterellug_start_" + std::to_string(process));
-    std::filesystem::create_directories(folder_);
-    settings_ = folder_ / "d1.json";
-    daemon_ = std::make_unique<DaemonProcess>(
-        DaemonPlan{DOTTERELLUGD, platform::SettingsEnvironment(settings_),
-                   folder_ / "d1.log"});
-  }
-  ~StartTest() override {
-    daemon_.reset();
-    std::filesystem::remove_all(folder_);
-  }
-
-  auto WriteSettings() -> void {
-    std::ofstream(settings_) << platform::MakeSettingsFile(place_);
-  }
-  // Lets the store work for a time, or until `done`.
-  auto RunFor(
-      Duration time, const std::function<bool()>& done = [] { return false; })
-      -> bool {
-    const auto end = MonotonicNow() + time;
-    while (!done() && MonotonicNow() < end) {
-      loop_.restart();
-      loop_.run_for(std::chrono::milliseconds(10));
-    }
-    return done();
-  }
-  auto Listens() -> bool {
-    ip::tcp::socket socket(loop_);
-    boost::system::error_code error;
-    socket.connect({ip::make_address(place_.ip), place_.Callers().port}, error);
-    return !error;
-  }
-  auto Ended() -> bool { return !daemon_->Running(); }
-
-  static constexpr Duration kLongest = std::chrono::seconds(10);
-
-  boost::asio::io_context loop_;
-  platform::StoreStandin store_{loop_, 1};
-  platform::DaemonPlace place_;
-  std::filesystem::path folder_;
-  std::string settings_;
-  std::unique_ptr<DaemonProcess> daemon_;
-};
+// The first moments of a daemon's process.
+class StartTest : public DaemonFixture {};
 
 // Guards against soaks in which a connection that a stand-in closes or resets
 // stays open, because a daemon started meanwhile holds it too.
