Wait for a settings file that is being replaced

What was seen: a daemon whose settings file is missing, empty or incomplete at the moment it starts ended with exit code 2 (FAULT). The platform writes that file at every start and whenever the settings change, also without a signal, so a process that starts again beside a change can meet it.

Cause: the file was read once, and what a reader sees in the middle of a write was taken for wrong settings.

A stop signal ends the wait with exit code 0. Settings that stay wrong still end the process with exit code 2 and the same text; a variable that is not set still does so at once. The product's own interface reads a file that its operators write, once, as before.

Evidence: ReplacedSettingsTest, a file that is missing, empty or cut in half.

--- a/extras/soak/tests/start_tests.cc
+++ b/extras/soak/tests/start_tests.cc
@@ -2,12 +2,14 @@
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <set>
 
 #include "soak/tests/daemon_fixture.h"
@@ -132,6 +134,65 @@
   EXPECT_TRUE(RunFor(kLongest, [this] { return Ended(); }));
 }
 
+// How much of a settings file there is when the process starts; nothing if the
+// file is missing.
+struct PartOfFile {
+  const char* name;
+  std::optional<double> part;
+};
+
+class ReplacedSettingsTest : public DaemonFixture,
+                             public ::testing::WithParamInterface<PartOfFile> {
+ protected:
+  auto WritePart() -> void {
+    const auto text = platform::MakeSettingsFile(place_);
+    const auto part = GetParam().part;
+    if (!part) return;
+    const auto size =
+        static_cast<std::size_t>(static_cast<double>(text.size()) * *part);
+    std::ofstream(settings_) << text.substr(0, size);
+  }
+};
+
+// Guards against a process that ends at its start (FAULT) because the platform
+// is replacing its settings file at that moment.
+TEST_P(ReplacedSettingsTest, TheProcessWaitsForTheWholeFile) {
+  WritePart();
+  ASSERT_TRUE(daemon_->Start());
+  RunFor(std::chrono::milliseconds(200));
+  ASSERT_FALSE(Ended()) << daemon_->EndStatus();
+  WriteSettings();
+  EXPECT_TRUE(RunFor(kLongest, [this] { return Listens(); }));
+}
+
+// The same, and a stop while it waits.
+TEST_P(ReplacedSettingsTest, AStopEndsTheWait) {
+  WritePart();
+  ASSERT_TRUE(daemon_->Start());
+  RunFor(std::chrono::milliseconds(200));
+  daemon_->Signal(SIGHUP);
+  daemon_->Signal(SIGTERM);
+  EXPECT_TRUE(RunFor(std::chrono::seconds(1), [this] { return Ended(); }));
+  EXPECT_EQ(daemon_->EndStatus(), 0);
+}
+
+// Settings that stay wrong are not waited for without end.
+TEST_P(ReplacedSettingsTest, AFileThatStaysWrongEndsTheProcess) {
+  WritePart();
+  ASSERT_TRUE(daemon_->Start());
+  ASSERT_TRUE(RunFor(kLongest, [this] { return Ended(); }));
+  ASSERT_TRUE(WIFEXITED(daemon_->EndStatus()));
+  EXPECT_EQ(WEXITSTATUS(daemon_->EndStatus()), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, ReplacedSettingsTest,
+                         ::testing::Values(PartOfFile{"Missing", std::nullopt},
+                                           PartOfFile{"Empty", 0},
+                                           PartOfFile{"Half", 0.5}),
+                         [](const auto& info) {
+                           return std::string(info.param.name);
+                         });
+
 // Guards against a daemon that does not start without the store.
 TEST_F(StartTest, StartsWhileTheStoreIsAway) {
   store_.SetFaults({true});
--- a/modules/core/process/control_signals.h
+++ b/modules/core/process/control_signals.h
@@ -24,6 +24,15 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+// Whether a signal that stops the process is held back.
+inline auto StopSignalPending() -> bool {
+  sigset_t pending;
+  sigemptyset(&pending);
+  sigpending(&pending);
+  return sigismember(&pending, SIGTERM) == 1 ||
+         sigismember(&pending, SIGINT) == 1;
+}
+
 // Delivers control signals to this thread from now on, with those held back.
 inline auto UnblockControlSignals() -> void {
   const auto signals = ControlSignals();
