Go on when the log file has reached the limit on file sizes

What was seen: a daemon whose output goes to a file, and that runs with a limit on file sizes, ended by SIGXFSZ as soon as the file was full (FAULT).

Cause: a write beyond that limit sends SIGXFSZ, whose default effect ends the process. Of the two signals that a failing write sends, only SIGPIPE was ignored, and only after the settings had been read.

--- a/daemon/standalone/main.cc
+++ b/daemon/standalone/main.cc
@@ -43,6 +43,7 @@
 // Started by dotterellugd, which holds the control signals back.
 auto main(int argc, char** argv) -> int {
   dotterellug::BlockControlSignals();
+  dotterellug::IgnoreWriteSignals();
   gflags::SetUsageMessage("Started by dotterellugd --settings FILE [--check]");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
@@ -52,7 +53,6 @@
     return kExitUsage;
   }
   if (FLAGS_check) return 0;
-  std::signal(SIGPIPE, SIG_IGN);
   dotterellug::InitializeLog(LogOptionsOf(*settings));
   // Wall time in microseconds grows with each start on the same instance.
   const dotterellug::Incarnation incarnation(
--- a/daemon/tests/standalone_program_tests.cc
+++ b/daemon/tests/standalone_program_tests.cc
@@ -2,6 +2,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -54,6 +55,15 @@
   EXPECT_NE(missing.errors.find("/nowhere.yaml"), std::string::npos);
 }
 
+// Guards against a process that ends (FAULT) because its output has reached the
+// system's limit on file sizes. `timeout` hands on how it ended.
+TEST_F(StandaloneProgramTest, GoesOnWhenItsLogFileIsFull) {
+  const auto log = (folder_ / "log").string();
+  const auto line = "bash -c 'ulimit -f 0; exec timeout 1 " + program_ +
+                    " --settings " + settings_ + "' >" + log + " 2>&1";
+  EXPECT_NE(WEXITSTATUS(std::system(line.c_str())), 128 + SIGXFSZ);
+}
+
 // Guards against a start that fails without saying which program is missing.
 TEST_F(StandaloneProgramTest, IsNamedWhenItIsMissing) {
   const auto alone = folder_ / "dotterellugd";
--- a/extras/soak/daemon_process.cc
+++ b/extras/soak/daemon_process.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <linux/close_range.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -33,6 +34,10 @@
     // A connection that this program closes would stay open as long as the
     // daemon runs.
     ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
+    if (plan_.max_file_bytes > 0) {
+      const rlimit limit{plan_.max_file_bytes, plan_.max_file_bytes};
+      ::setrlimit(RLIMIT_FSIZE, &limit);
+    }
     std::string platform = "--platform";
     std::array<char*, 3> arguments{plan_.program.data(), platform.data(),
                                    nullptr};
--- a/extras/soak/daemon_process.h
+++ b/extras/soak/daemon_process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 
 #include "core/core.h"
@@ -14,6 +15,8 @@
   // Entry of its environment that names its settings file.
   std::string environment;
   std::string log_file;
+  // The system's limit on the size of files that it writes; 0 for none.
+  std::size_t max_file_bytes = 0;
 };
 
 // A dotterellugd that this program started. Only its own process is ever
--- a/modules/core/process/control_signals.h
+++ b/modules/core/process/control_signals.h
@@ -39,4 +39,12 @@
   pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
+// Lets a write that cannot succeed return an error instead of ending the
+// process: to a closed connection or pipe, or beyond the system's limit on file
+// sizes, which a log file may reach.
+inline auto IgnoreWriteSignals() -> void {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
+}
+
 }  // namespace dotterellug
