Reject datagrams whose nesting exhausts the stack

What was seen: one datagram of 65,000 bytes at the peers' port ended a daemon by SIGSEGV (FAULT). It held text without a stated length, nested at each byte. Nothing shows that the users' processes met such bytes.

Cause: nlohmann::json reads CBOR by recursion, with a call for each level of text or bytes without a stated length, so the sender chooses how much stack that takes. JSON from outside is bounded in depth before it is parsed; CBOR was not.

Change: the shape of a datagram is checked first, without recursion: every length is stated and within the datagram, nothing is tagged, nesting ends at 32. That is what daemons write. It also covers stated sizes that are too large.

Evidence: OddDatagramTest, seven forms at a real process. The product's own interface reads CBOR only behind its authentication code and at most a datagram's limit, so it was left alone. The test of a full log file kills its daemon now instead of waiting for its stop.

--- a/daemon/tests/standalone_program_tests.cc
+++ b/daemon/tests/standalone_program_tests.cc
@@ -59,7 +59,7 @@
 // system's limit on file sizes. `timeout` hands on how it ended.
 TEST_F(StandaloneProgramTest, GoesOnWhenItsLogFileIsFull) {
   const auto log = (folder_ / "log").string();
-  const auto line = "bash -c 'ulimit -f 0; exec timeout 1 " + program_ +
+  const auto line = "bash -c 'ulimit -f 0; exec timeout -s KILL 1 " + program_ +
                     " --settings " + settings_ + "' >" + log + " 2>&1";
   EXPECT_NE(WEXITSTATUS(std::system(line.c_str())), 128 + SIGXFSZ);
 }
--- a/extras/soak/tests/outside_tests.cc
+++ b/extras/soak/tests/outside_tests.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -10,6 +11,8 @@
 namespace dotterellug::soak {
 namespace {
 
+namespace ip = boost::asio::ip;
+
 // What reaches a daemon's process from outside its callers and upstreams.
 class OutsideTest : public DaemonFixture {
  protected:
@@ -43,5 +46,42 @@
   EXPECT_TRUE(Listens());
 }
 
+struct OddBytes {
+  const char* name;
+  std::string unit;
+};
+
+class OddDatagramTest : public OutsideTest,
+                        public ::testing::WithParamInterface<OddBytes> {};
+
+// Guards against a process that ends (FAULT) by a datagram at its peers' port
+// whose values are nested so deeply that reading them exhausts the stack.
+TEST_P(OddDatagramTest, TheProcessGoesOn) {
+  constexpr std::size_t kLargest = 65'000;
+  std::string bytes;
+  while (bytes.size() + GetParam().unit.size() <= kLargest) {
+    bytes += GetParam().unit;
+  }
+  ASSERT_TRUE(StartAndWait());
+  ip::udp::socket socket(loop_, ip::udp::v4());
+  socket.send_to(boost::asio::buffer(bytes),
+                 {ip::make_address(place_.ip), platform::kPeerPort});
+  EXPECT_TRUE(RunFor(kLongest, [this] {
+    return Ended() || Log().find("datagram_rejected") != std::string::npos;
+  }));
+  ASSERT_FALSE(Ended()) << daemon_->EndStatus();
+  EXPECT_TRUE(Listens());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Forms, OddDatagramTest,
+    ::testing::Values(OddBytes{"Arrays", "\x81"}, OddBytes{"Maps", "\xa1\x60"},
+                      OddBytes{"ArraysWithoutLength", "\x9f"},
+                      OddBytes{"MapsWithoutLength", "\xbf\x60"},
+                      OddBytes{"TextWithoutLength", "\x7f"},
+                      OddBytes{"BytesWithoutLength", "\x5f"},
+                      OddBytes{"Tags", "\xc0"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace dotterellug::soak
--- a/modules/fleet/messages/fleet_codec.cc
+++ b/modules/fleet/messages/fleet_codec.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "core/text/cbor_shape.h"
 #include "core/variant/overloaded.h"
 
 namespace dotterellug::fleet {
@@ -664,8 +665,8 @@
                 "a datagram contains no valid fleet message",
                 "run the same version of dotterellugd on all instances");
   };
-  // nlohmann::json throws on wrong types and missing elements, and, although
-  // told not to, on a stated array size that is too large.
+  if (!HasCborShape(bytes)) return malformed();
+  // nlohmann::json throws on wrong types and missing elements.
   try {
     const auto json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
     if (!json.is_array() || json.empty()) return malformed();
--- a/modules/fleet/tests/fleet_tests.cc
+++ b/modules/fleet/tests/fleet_tests.cc
@@ -251,6 +251,19 @@
   }
 }
 
+// Guards against bytes whose nesting exhausts the stack when they are read, and
+// against a stated length that nothing follows.
+TEST(FleetCodecTest, RejectsShapesThatNoDaemonWrites) {
+  constexpr std::size_t kLargestDatagram = 65'000;
+  for (const char first :
+       {'\x81', '\xa1', '\x9f', '\xbf', '\x7f', '\x5f', '\xc0', '\x9b'}) {
+    const auto message =
+        DecodeFleetMessage(std::string(kLargestDatagram, first));
+    ASSERT_FALSE(message) << static_cast<int>(first);
+    EXPECT_EQ(message.error().kind, ErrorKind::kProtocol);
+  }
+}
+
 // Guards against exceeding an account limit when daemons change hubs, hubs are
 // partitioned from one another, and grants are lost.
 TEST(FleetHubTest, GrantsOfAllHubsStayWithinLimit) {
