Log how a process ends by itself

Cause: a process that ended by an exception that nobody caught, or by a fault of memory, left no line in its log, so that in an incident without the exit status the hypotheses could not be told apart.

Change: the handler of uncaught exceptions writes ended_by_exception with their text; a handler for SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT, on a stack of its own, writes ended_by_signal with the number. The process ends as before. Signals that already have a handler, such as a sanitizer's, are left alone. Lines that were buffered but not written are still lost.

No rule of callers changes.

--- a/extras/soak/tests/outside_tests.cc
+++ b/extras/soak/tests/outside_tests.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <sys/wait.h>
 
 #include <boost/asio/ip/udp.hpp>
 #include <csignal>
@@ -46,6 +47,17 @@
   EXPECT_TRUE(Listens());
 }
 
+// Guards against an end by itself (FAULT) of which the log says nothing.
+TEST_F(OutsideTest, AFaultOfMemoryIsInTheLog) {
+  ASSERT_TRUE(StartAndWait());
+  daemon_->Signal(SIGSEGV);
+  ASSERT_TRUE(RunFor(kLongest, [this] { return Ended(); }));
+  EXPECT_NE(Log().find(R"({"event":"ended_by_signal","signal":11})"),
+            std::string::npos);
+  ASSERT_TRUE(WIFSIGNALED(daemon_->EndStatus()));
+  EXPECT_EQ(WTERMSIG(daemon_->EndStatus()), SIGSEGV);
+}
+
 struct OddBytes {
   const char* name;
   std::string unit;
--- a/modules/telemetry/telemetry.h
+++ b/modules/telemetry/telemetry.h
@@ -5,6 +5,7 @@
 // bounded lines for requests. No line contains a key or a prompt. Needs: core,
 // prometheus-cpp, Boost.Log.
 
+#include "telemetry/events/end_log.h"
 #include "telemetry/events/event_log.h"
 #include "telemetry/logging/state_log.h"
 #include "telemetry/metrics/label_limit.h"
