Serve callers while a port that they do not need is in use

What was seen: a daemon whose port for metrics, or for copies for other daemons, was taken by another process did not start to serve for as long as that lasted (FAULT: the system did not start). Only the log said so.

Cause: all addresses were opened in one sequence before the one for callers, and the first that failed ended the attempt.

Change: a daemon needs its addresses for callers, readiness and datagrams to start. Metrics and copies are opened beside that and tried again every second, with a line internal_port_in_use. Datagrams are still needed: without them a daemon would not take part in the limits of the fleet.

--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -20,6 +20,8 @@
 constexpr auto kZoneRetention = std::chrono::seconds(3);
 constexpr auto kMemberRetention = std::chrono::seconds(5);
 constexpr auto kSweepInterval = std::chrono::seconds(1);
+// A port for metrics or copies that is in use is tried again after this time.
+constexpr auto kInternalServerRetry = std::chrono::seconds(1);
 // A registration that failed is written again after this time.
 constexpr auto kRegistrationRetry = std::chrono::milliseconds(300);
 // One that was written is shown by the watch of members within this time, also
@@ -113,12 +115,8 @@
 auto Gateway::Start() -> Result<SocketAddress> {
   auto other = readiness_.Listen(context_.settings.readiness);
   if (!other) return other;
-  other = metrics_.Listen(context_.settings.metrics);
-  if (!other) return other;
   other = fleet_.Start();
   if (!other) return other;
-  const auto serves_copies = copies_.Start();
-  if (!serves_copies) return tl::unexpected<Error>(serves_copies.error());
   auto address = callers_.Listen(context_.settings.callers);
   if (!address) return address;
   context_.log.Write(EventRank::kState, "started")
@@ -129,6 +127,18 @@
   return address;
 }
 
+auto Gateway::OpenInternalServers(Timestamp now) -> void {
+  if (internal_servers_open_ || now < internal_servers_due_) return;
+  internal_servers_due_ = now + kInternalServerRetry;
+  const auto metrics = metrics_.Listen(context_.settings.metrics);
+  const auto copies = copies_.Start();
+  internal_servers_open_ = metrics && copies;
+  if (internal_servers_open_) return;
+  const auto& error = metrics ? copies.error() : metrics.error();
+  context_.log.Write(EventRank::kState, "internal_port_in_use")
+      .Add("error", error.Text());
+}
+
 auto Gateway::Ready() const -> bool {
   // A registration that a restore of the store has lost is written again, and
   // the others keep this daemon as a member meanwhile.
@@ -541,6 +551,7 @@
     context_.upstreams.Backpressure().Expire(now);
   }
   if (members_known_) RegisterSelf();
+  OpenInternalServers(now);
   if (now - ordered_at_ >= kOrderInterval) {
     ordered_at_ = now;
     orders_.Tick();
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -77,6 +77,9 @@
   auto SetLevels() -> void;
   auto NoteClocks(Timestamp now) -> void;
   auto RegisterSelf() -> void;
+  // Opens the ports that callers do not need: metrics, and copies for other
+  // daemons. One that is in use is tried again.
+  auto OpenInternalServers(Timestamp now) -> void;
   // How long after the stop signal the process may run.
   auto LongestDrain() const -> Duration;
   auto FinishDrain() -> void;
@@ -108,6 +111,8 @@
   // When to write the registration unless the list of members shows it.
   Timestamp registration_due_{};
   Timestamp swept_at_{};
+  bool internal_servers_open_ = false;
+  Timestamp internal_servers_due_{};
   Timestamp ordered_at_{};
   // The last tick, on the monotonic clock and as time of day.
   Timestamp ticked_at_{};
--- a/extras/soak/tests/start_tests.cc
+++ b/extras/soak/tests/start_tests.cc
@@ -134,6 +134,36 @@
   EXPECT_TRUE(RunFor(kLongest, [this] { return Ended(); }));
 }
 
+// A port of a daemon that callers do not need.
+struct InternalPort {
+  const char* name;
+  std::uint16_t port;
+};
+
+class InternalPortTest : public DaemonFixture,
+                         public ::testing::WithParamInterface<InternalPort> {};
+
+// Guards against a daemon that does not start (FAULT) because another process
+// has a port that its callers do not need.
+TEST_P(InternalPortTest, CallersAreServedWhileItIsInUse) {
+  const SocketAddress address{place_.ip, GetParam().port};
+  ip::tcp::acceptor other(loop_,
+                          {ip::make_address(address.host), address.port});
+  WriteSettings();
+  ASSERT_TRUE(daemon_->Start());
+  EXPECT_TRUE(RunFor(std::chrono::seconds(2), [this] { return Listens(); }));
+  EXPECT_TRUE(Accepts(place_.Readiness()));
+  other.close();
+  EXPECT_TRUE(RunFor(kLongest, [&] { return Accepts(address); }));
+  ASSERT_FALSE(Ended());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ports, InternalPortTest,
+    ::testing::Values(InternalPort{"Copies", platform::kPeerPort},
+                      InternalPort{"Metrics", platform::kPeerPort + 1}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // How much of a settings file there is when the process starts; nothing if the
 // file is missing.
 struct PartOfFile {
