Let the soak change settings files and reload processes as they end

The soak wrote a settings file whole before it started a process, and sent no reload in the last moments of a stop, so it could not meet either fault.

--- a/extras/soak/main.cc
+++ b/extras/soak/main.cc
@@ -25,6 +25,9 @@
             "that do not draw planned work only.");
 DEFINE_bool(broken_answers, false,
             "Also draw upstreams that break answers, and upload long bodies.");
+DEFINE_bool(changing_settings, false,
+            "Also change settings files beside starts and reloads, and reload "
+            "processes while they end.");
 DEFINE_string(report, "", "Markdown file for the report; default: none.");
 DEFINE_string(work, "", "Folder for logs; default: a temporary one.");
 
@@ -76,6 +79,7 @@
     plan.extended_faults = FLAGS_extended_faults;
     plan.restores = FLAGS_restores;
     plan.broken_answers = FLAGS_broken_answers;
+    plan.changing_settings = FLAGS_changing_settings;
     dotterellug::soak::World world(plan);
     const auto ran = world.Run();
     if (!ran) {
--- a/extras/soak/world.cc
+++ b/extras/soak/world.cc
@@ -134,6 +134,7 @@
           loop_, ledger_, [this] { return Now(); }, plan_.seed + 3),
       later_random_(plan_.seed + 4),
       extended_random_(plan_.seed + 5),
+      settings_random_(plan_.seed + 8),
       restore_random_(plan_.seed + 6),
       break_random_(plan_.seed + 7),
       hostile_(loop_, plan_.seed + 2) {
@@ -639,10 +640,36 @@
 }
 
 auto World::ReloadDaemon(std::size_t index) -> void {
-  const auto age = Now() - daemons_[index]->started_at;
-  if (!plan_.early_reloads && age < kLinkTime) return;
-  Note("reload", FaultScope::kPlannedWork, static_cast<int>(index), 0);
-  daemons_[index]->process.Signal(SIGHUP);
+  const auto reload = [this, index] {
+    const auto age = Now() - daemons_[index]->started_at;
+    if (!plan_.early_reloads && age < kLinkTime) return;
+    Note("reload", FaultScope::kPlannedWork, static_cast<int>(index), 0);
+    daemons_[index]->process.Signal(SIGHUP);
+  };
+  if (!plan_.changing_settings) return reload();
+  WriteSettings(index, reload);
+}
+
+auto World::WriteSettings(std::size_t index, std::function<void()> done)
+    -> void {
+  constexpr Seconds kLongestWrite = 0.08;
+  const auto& daemon = *daemons_[index];
+  const auto text = platform::MakeSettingsFile(daemon.place);
+  std::ofstream(daemon.settings)
+      << text.substr(0, settings_random_.Below(text.size()));
+  After(kLongestWrite * settings_random_.Uniform(),
+        [this, index, text, done = std::move(done)] {
+          std::ofstream(daemons_[index]->settings) << text;
+          done();
+        });
+}
+
+auto World::ReloadUntilGone(std::size_t index, std::size_t stop) -> void {
+  constexpr Seconds kPause = 0.002;
+  auto& daemon = *daemons_[index];
+  if (daemon.stop != stop || !daemon.process.Running()) return;
+  daemon.process.Signal(SIGHUP);
+  After(kPause, [this, index, stop] { ReloadUntilGone(index, stop); });
 }
 
 auto World::DrawLoadTime(Upstream& upstream) -> void {
@@ -703,6 +730,10 @@
   const auto grace = ledger_.bounds.grace;
   Note(name, FaultScope::kPlannedStop, static_cast<int>(index), grace);
   After(grace, [this, index, stop] { KillAfterGrace(index, stop); });
+  if (!plan_.changing_settings) return;
+  // Shortly before a daemon without open requests ends.
+  constexpr Seconds kReloadsBegin = 2.5;
+  After(kReloadsBegin, [this, index, stop] { ReloadUntilGone(index, stop); });
 }
 
 auto World::KillAfterGrace(std::size_t index, std::size_t stop) -> void {
@@ -731,7 +762,12 @@
 auto World::Restart(std::size_t index) -> void {
   auto& place = daemons_[index]->place;
   place.bootstrap = false;
-  std::ofstream(daemons_[index]->settings) << platform::MakeSettingsFile(place);
+  if (plan_.changing_settings) {
+    WriteSettings(index, [] {});
+  } else {
+    std::ofstream(daemons_[index]->settings)
+        << platform::MakeSettingsFile(place);
+  }
   if (!daemons_[index]->process.Start()) {
     return After(0.5, [this, index] { Restart(index); });
   }
--- a/extras/soak/world.h
+++ b/extras/soak/world.h
@@ -43,6 +43,9 @@
   bool restores = true;
   // Also draw upstreams that break answers, some of them during long uploads.
   bool broken_answers = false;
+  // Also write settings files in two steps, while processes start or before
+  // they are reloaded, and reload processes in a series as they end.
+  bool changing_settings = false;
 };
 
 // One run: daemons as processes of their own, the store and upstreams in this
@@ -101,6 +104,11 @@
   // Pauses a daemon shortly before or after its planned stop begins.
   auto PauseAroundStop(std::size_t index) -> void;
   auto SignalEarly(std::size_t index) -> void;
+  // Writes a part of the daemon's settings file and then, after a moment, the
+  // whole file; calls `done` at the end.
+  auto WriteSettings(std::size_t index, std::function<void()> done) -> void;
+  // Reloads a stopping daemon again and again until its process is gone.
+  auto ReloadUntilGone(std::size_t index, std::size_t stop) -> void;
   auto StopEarly(std::size_t index) -> void;
   // Engines lose the patient callers' model and load slowly from now on.
   auto EvictPatientModel() -> void;
@@ -155,6 +163,7 @@
   // the seeds kept from earlier runs draw what they drew.
   Random later_random_;
   Random extended_random_;
+  Random settings_random_;
   Random restore_random_;
   Random break_random_;
   // Backups of the last seconds, with their times.
