Charge the header fields of requests to the memory of clients

What was seen: 480 clients without a key, each with a chunked body that it does not finish behind a head of many small fields within the limit on heads, brought a daemon beyond the memory of its instance, where the platform ends it (FAULT).

Cause: a field of 4 bytes in the message takes 64 bytes and more once it is read. The memory account counted the raw input until it was parsed, then the body, but not the fields that the session or the request keeps.

Change: the fields are charged when the head has been read, until the request has been answered or its connection is closed. Without room, stalled clients are evicted as for bodies, or the request is refused with 503 and Retry-After.

--- a/extras/soak/tests/untrusted_client_tests.cc
+++ b/extras/soak/tests/untrusted_client_tests.cc
@@ -64,6 +64,8 @@
   std::size_t total = std::string::npos;
   // Connections of one client at a time.
   int connections = 1;
+  // Descriptors that the instance has.
+  std::size_t descriptors = kMaxDescriptors;
 };
 
 // A client that connects again as soon as its connection ends. What it sent in
@@ -154,7 +156,7 @@
     std::filesystem::create_directories(folder_);
     auto settings = platform::Json::parse(platform::MakeSettingsFile(place_));
     settings["limits"]["ramMb"] = kRamMb;
-    settings["limits"]["maxFds"] = kMaxDescriptors;
+    settings["limits"]["maxFds"] = GetParam().descriptors;
     std::ofstream(folder_ / "d1.json") << settings.dump();
     platform::ConfigurationPlan plan;
     plan.version = 1;
@@ -289,7 +291,7 @@
   const auto descriptors = Attack();
   ASSERT_TRUE(daemon_->Running());
   EXPECT_LT(ReadStatus(daemon_->Id(), "VmHWM:"), kRamMb * 1024);
-  EXPECT_LT(descriptors, kMaxDescriptors);
+  EXPECT_LT(descriptors, GetParam().descriptors);
   // The clients are still connected.
   EXPECT_TRUE(IsServed());
   EXPECT_TRUE(daemon_->Running());
@@ -326,7 +328,9 @@
         Misbehavior{"OversizedChunked", kChunked, "",
                     "10000\r\n" + kBlock + "\r\n"},
         Misbehavior{"ManyConnections", "Content-Length: 10\r\n", "12345", "",
-                    std::string::npos, 10}),
+                    std::string::npos, 10},
+        Misbehavior{"HeadsOfSmallFields", kChunked + Repeat("a:\r\n", 14'000),
+                    "5\r\nhel", "", std::string::npos, 12, 1'200}),
     [](const auto& info) { return info.param.name; });
 
 }  // namespace
--- a/modules/eventhttp/message/header_fields.cc
+++ b/modules/eventhttp/message/header_fields.cc
@@ -24,8 +24,22 @@
     "trailer",          "upgrade",    "transfer-encoding",
     "content-length",   "expect"};
 
+// What a text has allocated; a short one is stored inline.
+auto AllocatedBy(const std::string& text) -> std::size_t {
+  static const auto inline_capacity = std::string().capacity();
+  return text.capacity() > inline_capacity ? text.capacity() + 1 : 0;
+}
+
 }  // namespace
 
+auto MemoryOf(const HeaderFields& fields) -> std::size_t {
+  auto bytes = fields.capacity() * sizeof(HeaderField);
+  for (const auto& field : fields) {
+    bytes += AllocatedBy(field.name) + AllocatedBy(field.value);
+  }
+  return bytes;
+}
+
 auto SameFieldName(std::string_view a, std::string_view b) -> bool {
   return EqualsIgnoringCase(a, b);
 }
--- a/modules/eventhttp/message/header_fields.h
+++ b/modules/eventhttp/message/header_fields.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,10 @@
 // Header fields in the order of the message; a name may occur several times.
 using HeaderFields = std::vector<HeaderField>;
 
+// Bytes of memory that the fields take. Short fields take many times the bytes
+// that they have in the message.
+auto MemoryOf(const HeaderFields& fields) -> std::size_t;
+
 // Whether two field names are the same; HTTP ignores their case.
 auto SameFieldName(std::string_view a, std::string_view b) -> bool;
 
--- a/modules/eventhttp/server/server_session.cc
+++ b/modules/eventhttp/server/server_session.cc
@@ -52,6 +52,7 @@
       input_memory_(server.memory_, MemoryUse::kHead),
       framing_memory_(server.memory_, MemoryUse::kFraming),
       output_memory_(server.memory_, MemoryUse::kUnsentResponse),
+      fields_memory_(server.memory_, MemoryUse::kHead),
       progress_at_(state_since_) {}
 
 auto ServerSession::Start() -> void { WaitForInput(); }
@@ -130,7 +131,10 @@
     server_.NoteRefusal(ClientRefusal::kChunkFraming, client_);
     return RespondUnread(400, {});
   }
-  if (parser_->HeadAccepted() && !body_memory_ && !ReserveBody()) return;
+  if (parser_->HeadAccepted() && !body_memory_ &&
+      (!ReserveFields() || !ReserveBody())) {
+    return;
+  }
   if (!parser_->is_done()) {
     const auto* expect = parser_->HeadAccepted()
                              ? FindField(parser_->Head().fields, "Expect")
@@ -157,6 +161,14 @@
 }
 
 // Called once for each request, when its head has been read.
+auto ServerSession::ReserveFields() -> bool {
+  const auto bytes = MemoryOf(parser_->Head().fields);
+  if (TryCharge(fields_memory_, bytes)) return true;
+  RefuseForMemory(fields_memory_);
+  return false;
+}
+
+// Called after ReserveFields.
 auto ServerSession::ReserveBody() -> bool {
   body_memory_ =
       std::make_shared<MemoryCharge>(server_.memory_, MemoryUse::kReceivedBody);
@@ -292,6 +304,7 @@
     -> void {
   parser_.reset();
   body_memory_ = nullptr;
+  fields_memory_.Set(0);
   std::string().swap(input_);
   input_before_close_ = 0;
   state_ = State::kAnswering;
@@ -371,6 +384,7 @@
 auto ServerSession::AnswerEnded() -> void {
   on_gone_ = nullptr;
   on_drained_ = nullptr;
+  fields_memory_.Set(0);
   // A stream whose head was sent before the drain has not told its client to
   // close. One more request may follow, whose answer does.
   close_unannounced_ = server_.Draining() && !close_after_;
@@ -433,6 +447,7 @@
   on_drained_ = nullptr;
   parser_.reset();
   body_memory_ = nullptr;
+  fields_memory_.Set(0);
   std::string().swap(input_);
   ChargeBuffers();
   boost::system::error_code ignored;  // The descriptor is released anyway.
--- a/modules/eventhttp/server/server_session.h
+++ b/modules/eventhttp/server/server_session.h
@@ -94,8 +94,9 @@
   auto HandleEnd() -> void;
   auto ParseInput() -> void;
   auto RejectInput(boost::beast::error_code error) -> void;
-  // Reserves memory for what the client is about to send, or refuses the
-  // request. Returns whether it goes on.
+  // Reserves memory for what the client has sent and is about to send, or
+  // refuses the request. Returns whether it goes on.
+  auto ReserveFields() -> bool;
   auto ReserveBody() -> bool;
   auto ReserveMoreBody(std::size_t input) -> bool;
   // Charges bytes of a body, after evictions if necessary.
@@ -121,6 +122,8 @@
   MemoryCharge input_memory_;
   MemoryCharge framing_memory_;
   MemoryCharge output_memory_;
+  // Of the fields of the request that is being read or answered.
+  MemoryCharge fields_memory_;
   // Of the body that is being received.
   std::shared_ptr<MemoryCharge> body_memory_;
   bool body_announced_ = false;
