Check the shape of a datagram below its first level too

What was seen: since, nested text without a stated length is rejected at the beginning of a datagram, but the same inside an array or a map still ended a daemon by SIGSEGV (FAULT). Found when the change was read again.

Cause: the check ended as soon as no value was missing at the outermost level, which is the case once its first byte has been read.

Change: it ends when no value is missing at any level.

Evidence: OddDatagramTest, TextInAnArray and TextInAMap, failed on the code before (2 of 2 by SIGSEGV; the seven other forms passed), and FleetCodecTest.RejectsShapesThatNoDaemonWrites, which now has each form inside an array and a map, ended its program. All pass now (9 of 9), and so do fleet_tests (93 of 93), whose messages all have the shape.

--- a/extras/soak/tests/outside_tests.cc
+++ b/extras/soak/tests/outside_tests.cc
@@ -61,6 +61,7 @@
 struct OddBytes {
   const char* name;
   std::string unit;
+  std::string begin;
 };
 
 class OddDatagramTest : public OutsideTest,
@@ -70,7 +71,7 @@
 // whose values are nested so deeply that reading them exhausts the stack.
 TEST_P(OddDatagramTest, TheProcessGoesOn) {
   constexpr std::size_t kLargest = 65'000;
-  std::string bytes;
+  auto bytes = GetParam().begin;
   while (bytes.size() + GetParam().unit.size() <= kLargest) {
     bytes += GetParam().unit;
   }
@@ -92,7 +93,9 @@
                       OddBytes{"MapsWithoutLength", "\xbf\x60"},
                       OddBytes{"TextWithoutLength", "\x7f"},
                       OddBytes{"BytesWithoutLength", "\x5f"},
-                      OddBytes{"Tags", "\xc0"}),
+                      OddBytes{"Tags", "\xc0"},
+                      OddBytes{"TextInAnArray", "\x7f", "\x82\x01"},
+                      OddBytes{"TextInAMap", "\x7f", "\x81\xa1\x61x"}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
--- a/modules/core/text/cbor_shape.h
+++ b/modules/core/text/cbor_shape.h
@@ -26,11 +26,9 @@
   // Values that are still missing at each level.
   std::array<std::uint64_t, kMaxCborDepth + 1> missing{1};
   std::size_t depth = 0;
-  while (missing[0] > 0) {
-    if (missing[depth] == 0) {
-      --depth;
-      continue;
-    }
+  for (;;) {
+    while (depth > 0 && missing[depth] == 0) --depth;
+    if (missing[depth] == 0) return true;
     --missing[depth];
     if (bytes.empty()) return false;
     const auto first = static_cast<std::uint8_t>(bytes.front());
@@ -56,7 +54,6 @@
       missing[++depth] = major == kMap ? 2 * argument : argument;
     }
   }
-  return true;
 }
 
 }  // namespace dotterellug
--- a/modules/fleet/tests/fleet_tests.cc
+++ b/modules/fleet/tests/fleet_tests.cc
@@ -257,10 +257,12 @@
   constexpr std::size_t kLargestDatagram = 65'000;
   for (const char first :
        {'\x81', '\xa1', '\x9f', '\xbf', '\x7f', '\x5f', '\xc0', '\x9b'}) {
-    const auto message =
-        DecodeFleetMessage(std::string(kLargestDatagram, first));
-    ASSERT_FALSE(message) << static_cast<int>(first);
-    EXPECT_EQ(message.error().kind, ErrorKind::kProtocol);
+    for (const std::string before : {"", "\x82\x01", "\x81\xa1\x61x"}) {
+      const auto message =
+          DecodeFleetMessage(before + std::string(kLargestDatagram, first));
+      ASSERT_FALSE(message) << static_cast<int>(first);
+      EXPECT_EQ(message.error().kind, ErrorKind::kProtocol);
+    }
   }
 }
 
