--- a/modules/telemetry/tests/end_log_tests.cc
+++ b/modules/telemetry/tests/end_log_tests.cc
@@ -9,9 +9,9 @@
 namespace dotterellug {
 namespace {
 
-auto ThrowUncaught() noexcept -> void {
-  throw std::runtime_error("no \"room\"");
-}
+auto Throw() -> void { throw std::runtime_error("no \"room\""); }
+
+auto ThrowUncaught() noexcept -> void { Throw(); }
 
 // Descends until the stack is exhausted.
 auto Descend(volatile int* last) -> int {  // NOLINT(misc-no-recursion)
