--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "daemon/gateway/gateway.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "daemon/gateway/quarantine_page.h"
@@ -139,13 +140,35 @@
       .Add("error", error.Text());
 }
 
-auto Gateway::Ready() const -> bool {
+auto Gateway::Ready() const -> bool { return Missing().empty() && !draining_; }
+
+auto Gateway::Missing() const -> std::string {
   // A registration that a restore of the store has lost is written again, and
   // the others keep this daemon as a member meanwhile.
   const bool member =
       registered_ || members_.Retained(context_.settings.instance);
-  return context_.catalog && upstreams_known_ && members_known_ &&
-         zones_known_ && member && !draining_;
+  const std::array<std::pair<const char*, bool>, 5> parts{
+      {{"configuration", context_.catalog != nullptr},
+       {"upstreams", upstreams_known_},
+       {"zones_out", zones_known_},
+       {"members", members_known_},
+       {"registration", member}}};
+  std::string missing;
+  for (const auto& [name, known] : parts) {
+    if (known) continue;
+    if (!missing.empty()) missing += ' ';
+    missing += name;
+  }
+  return missing;
+}
+
+auto Gateway::LogReadiness() -> void {
+  auto missing = Missing();
+  if (logged_missing_ == missing) return;
+  context_.log.Write(EventRank::kState, "readiness")
+      .Add("ready", missing.empty() ? "yes" : "no")
+      .Add("missing", missing);
+  logged_missing_ = std::move(missing);
 }
 
 auto Gateway::Events() -> ControlEvents {
@@ -551,6 +574,7 @@
     context_.upstreams.Backpressure().Expire(now);
   }
   if (members_known_) RegisterSelf();
+  LogReadiness();
   OpenInternalServers(now);
   if (now - ordered_at_ >= kOrderInterval) {
     ordered_at_ = now;
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -77,6 +77,11 @@
   auto SetLevels() -> void;
   auto NoteClocks(Timestamp now) -> void;
   auto RegisterSelf() -> void;
+  // What this daemon has yet to learn or to write before it is ready; empty if
+  // nothing.
+  auto Missing() const -> std::string;
+  // Logs each change of that.
+  auto LogReadiness() -> void;
   // Opens the ports that callers do not need: metrics, and copies for other
   // daemons. One that is in use is tried again.
   auto OpenInternalServers(Timestamp now) -> void;
@@ -102,6 +107,8 @@
   bool zones_known_ = false;
   bool registered_ = false;
   bool draining_ = false;
+  // As the log has it.
+  std::optional<std::string> logged_missing_;
   // Whether this daemon reads the list of upstreams from the store itself.
   bool following_ = true;
   Timestamp drain_started_{};
