--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -18,6 +18,7 @@
 #include "core/random/random.h"
 #include "core/text/ascii_case.h"
 #include "core/text/json_depth.h"
+#include "core/text/percent_encoding.h"
 #include "core/text/utf8.h"
 #include "core/time/time.h"
 #include "core/variant/overloaded.h"
--- a/modules/core/tests/core_tests.cc
+++ b/modules/core/tests/core_tests.cc
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <set>
 #include <string>
 #include <type_traits>
+#include <vector>
 
 #include "core/core.h"
 #include "core/ids/store_position.h"
@@ -50,6 +52,20 @@
   }
 }
 
+RC_GTEST_PROP(PercentEncodingTest, AnyBytesAreReadBack,
+              (const std::vector<unsigned char>& bytes)) {
+  const std::string text(bytes.begin(), bytes.end());
+  const auto encoded = PercentEncode(text);
+  RC_ASSERT(encoded.find_first_of("/?#&=+ \r\n") == std::string::npos);
+  RC_ASSERT(PercentDecode(encoded) == text);
+}
+
+TEST(PercentEncodingTest, IncompleteEscapesAreNotDecoded) {
+  for (const auto* text : {"%", "a%4", "%g1", "%%41", "%+1", "%-1"}) {
+    EXPECT_FALSE(PercentDecode(text)) << text;
+  }
+}
+
 // Guards against an error text that leaves out the remedy.
 TEST(ErrorTest, TextContainsMessageAndRemedy) {
   const Error error{ErrorKind::kConflict, "revision 7 is not the latest",
--- a/modules/frontend/http/percent_encoding.cc
+++ b/modules/core/text/percent_encoding.cc
@@ -1,6 +1,7 @@
-#include "frontend/http/percent_encoding.h"
+#include "core/text/percent_encoding.h"
 
 #include <cctype>
+#include <charconv>
 
 namespace dotterellug {
 
@@ -25,4 +26,24 @@
   return encoded;
 }
 
+auto PercentDecode(std::string_view text) -> std::optional<std::string> {
+  constexpr std::size_t kDigits = 2;
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      decoded += text[i];
+      continue;
+    }
+    const auto digits = text.substr(i + 1, kDigits);
+    unsigned byte = 0;
+    const auto* end = digits.data() + digits.size();
+    const auto read = std::from_chars(digits.data(), end, byte, 16);
+    const bool whole = read.ec == std::errc() && read.ptr == end;
+    if (!whole || digits.size() < kDigits) return std::nullopt;
+    decoded += static_cast<char>(byte);
+    i += kDigits;
+  }
+  return decoded;
+}
+
 }  // namespace dotterellug
--- a/modules/frontend/frontend.h
+++ b/modules/frontend/frontend.h
@@ -7,4 +7,3 @@
 #include "frontend/api/error_body.h"
 #include "frontend/http/http_message.h"
 #include "frontend/http/http_server.h"
-#include "frontend/http/percent_encoding.h"
--- a/modules/frontend/http/http_server.cc
+++ b/modules/frontend/http/http_server.cc
@@ -15,8 +15,8 @@
 #include <thread>
 
 #include "core/net/body_framing.h"
+#include "core/text/percent_encoding.h"
 #include "core/variant/overloaded.h"
-#include "frontend/http/percent_encoding.h"
 
 namespace dotterellug {
 namespace {
