Escape names in the targets of calls to the store

Objects named a00%#, a01%#zz, a02&b=, a03+ and a04%C3%A9 had been written by somebody else.

Cause: the name behind which the next page of a list begins went into the target as it is. With %, &, + and # the store reads another name or rejects the call, answers with a page again, and the check for repeated answers fails the list, for ever. Paths of objects were written the same way.

Class: text that somebody else chose becomes syntax.

--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -11,6 +11,7 @@
 #include "core/ids/strong_integer.h"
 #include "core/ids/strong_string.h"
 #include "core/net/body_framing.h"
+#include "core/net/request_target.h"
 #include "core/net/socket_address.h"
 #include "core/net/status_code.h"
 #include "core/priority/priority_class.h"
--- a/modules/core/tests/core_tests.cc
+++ b/modules/core/tests/core_tests.cc
@@ -52,6 +52,17 @@
   }
 }
 
+// Guards against a part of a target that becomes syntax: a list that goes on
+// behind another name, or a change of another object.
+TEST(RequestTargetTest, EscapesWhatSeparatesParts) {
+  RequestTarget target("/objects");
+  target.AddSegment("a/b?c").AddSegment("..").AddSegment("a b%41");
+  target.AddField("after", "a&b=").AddField("k#", "+\xff");
+  EXPECT_EQ(target.Text(),
+            "/objects/a%2Fb%3Fc/%2E%2E/a%20b%2541?after=a%26b%3D&"
+            "k%23=%2B%FF");
+}
+
 RC_GTEST_PROP(PercentEncodingTest, AnyBytesAreReadBack,
               (const std::vector<unsigned char>& bytes)) {
   const std::string text(bytes.begin(), bytes.end());
