Tell a list that cannot be read whole from a store that is away

The same lists were asked for 9 times a second. Where no name on a page could be read, the list ended there and counted as whole: a daemon was ready and answered 503 (no_upstream).

Cause: a list had no state between whole and lost. A page that came again counted as the copy of an earlier answer, for ever, and the position behind a page was the last name that could be read, or none.

--- a/daemon/gateway/control_link.h
+++ b/daemon/gateway/control_link.h
@@ -26,6 +26,9 @@
   kMembers,
 };
 
+// Such as "zones_out".
+auto StoreListName(StoreList list) -> const char*;
+
 // Positions in the store up to which changes have been read, by StoreList.
 using StorePositions = std::vector<StorePosition>;
 
@@ -73,6 +76,10 @@
   std::function<void(const StoreEpochChange&)> on_store_epoch;
   // The store answered about upstreams, or did not.
   std::function<void(bool answered)> on_upstream_contact;
+  // The store answers, but a list cannot be read whole, with each attempt; or
+  // it could be read again.
+  std::function<void(StoreList, const Result<void>&)> on_list =
+      [](StoreList, const Result<void>&) {};
   // Something from the platform could not be used; for the log.
   std::function<void(const Error&)> on_bad_entry;
 };
--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -148,10 +148,10 @@
   const bool member =
       registered_ || members_.Retained(context_.settings.instance);
   const std::array<std::pair<const char*, bool>, 5> parts{
-      {{"configuration", context_.catalog != nullptr},
-       {"upstreams", upstreams_known_},
-       {"zones_out", zones_known_},
-       {"members", members_known_},
+      {{StoreListName(StoreList::kConfiguration), context_.catalog != nullptr},
+       {StoreListName(StoreList::kUpstreams), upstreams_known_},
+       {StoreListName(StoreList::kZonesOut), zones_known_},
+       {StoreListName(StoreList::kMembers), members_known_},
        {"registration", member}}};
   std::string missing;
   for (const auto& [name, known] : parts) {
@@ -193,6 +193,9 @@
   events.on_store_contact = [this](const Result<void>& result) {
     OnStoreContact(result);
   };
+  events.on_list = [this](StoreList list, const Result<void>& result) {
+    OnList(list, result);
+  };
   events.on_store_call = [this](const std::string& call) {
     context_.metrics.Count(GatewayCounter::kStoreCalls, call);
   };
@@ -469,6 +472,20 @@
       .AddMs("since_answer_ms", now - lapsed_.LastResponseAt());
 }
 
+auto Gateway::OnList(StoreList list, const Result<void>& result) -> void {
+  const auto now = MonotonicNow();
+  if (result) {
+    context_.log.Write(EventRank::kState, "list_resumed")
+        .Add("list", StoreListName(list))
+        .AddMs("stalled_ms", now - stalled_lists_[list]);
+    stalled_lists_.erase(list);
+  } else if (stalled_lists_.emplace(list, now).second) {
+    context_.log.Write(EventRank::kState, "list_stalled")
+        .Add("list", StoreListName(list))
+        .Add("error", result.error().Text());
+  }
+}
+
 auto Gateway::OnStoreEpoch(const StoreEpochChange& change) -> void {
   orders_.OnStoreEpoch(change.after);
   context_.metrics.Set(GatewayLevel::kStoreEpoch,
@@ -524,6 +541,8 @@
                   })));
   metrics.Set(GatewayLevel::kOrderLeaseHeld, orders_.Leading() ? 1 : 0);
   duties_.SetLevels();
+  metrics.Set(GatewayLevel::kStalledLists,
+              static_cast<double>(stalled_lists_.size()));
   metrics.Set(GatewayLevel::kStoreAnswerAge, age(lapsed_.LastResponseAt()));
   metrics.Set(GatewayLevel::kHubAnswerAge, age(context_.hub_answered_at));
   metrics.Set(GatewayLevel::kZoneHubDaemons,
--- a/daemon/gateway/gateway.h
+++ b/daemon/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -69,6 +70,8 @@
   // Ends what is kept or held back for a while after a restore.
   auto EndRetention(Timestamp now) -> void;
   auto OnStoreContact(const Result<void>& result) -> void;
+  // A list of the store cannot be read whole, or could be read again.
+  auto OnList(StoreList list, const Result<void>& result) -> void;
   auto OnStoreEpoch(const StoreEpochChange& change) -> void;
   // `position` is the store's, at which the removal was read.
   auto RemoveUpstream(const UpstreamId& id, const char* cause,
@@ -107,6 +110,8 @@
   bool zones_known_ = false;
   bool registered_ = false;
   bool draining_ = false;
+  // Lists of the store that cannot be read whole, and since when.
+  std::map<StoreList, Timestamp> stalled_lists_;
   // As the log has it.
   std::optional<std::string> logged_missing_;
   // Whether this daemon reads the list of upstreams from the store itself.
--- a/daemon/gateway/gateway_metrics.cc
+++ b/daemon/gateway/gateway_metrics.cc
@@ -60,7 +60,7 @@
      "outcome."},
 }};
 
-const std::array<Name, 19> kLevels{{
+const std::array<Name, 20> kLevels{{
     {"dotterellug_gateway_config_version", "",
      "Version of the configuration in force."},
     {"dotterellug_gateway_open_requests", "",
@@ -73,6 +73,8 @@
      "1 while this daemon may order loads."},
     {"dotterellug_gateway_store_answer_age_seconds", "",
      "Time since the store last answered this daemon."},
+    {"dotterellug_gateway_stalled_lists", "",
+     "Lists of the store that cannot be read whole."},
     {"dotterellug_gateway_store_epoch", "",
      "Epoch of the store, which rises with each restore; 0 if it states none."},
     {"dotterellug_gateway_hub_answer_age_seconds", "",
--- a/daemon/gateway/gateway_metrics.h
+++ b/daemon/gateway/gateway_metrics.h
@@ -38,6 +38,7 @@
   kMembers,
   kOrderLeaseHeld,
   kStoreAnswerAge,
+  kStalledLists,
   kStoreEpoch,
   kHubAnswerAge,
   kZoneHubDaemons,
