--- a/daemon/gateway/gateway.cc
+++ b/daemon/gateway/gateway.cc
@@ -475,7 +475,7 @@
 auto Gateway::OnList(StoreList list, const Result<void>& result) -> void {
   const auto now = MonotonicNow();
   if (result) {
-    context_.log.Write(EventRank::kState, "list_resumed")
+    context_.log.Write(EventRank::kState, "list_stall_ended")
         .Add("list", StoreListName(list))
         .AddMs("stalled_ms", now - stalled_lists_[list]);
     stalled_lists_.erase(list);
