Check in the soak that daemons become ready after a start

The soak asked for readiness once, before its faults.

Each start of a process is now followed until it answers that it is ready. It has to within 4 s (catchupS) after the start, or after the end of the last fault of the store or of its link and of the last pause that delay it, unless it is stopped or killed before. A restore of the store delays nothing, so it has a scope of its own; an outage before one is noted as such. The other checks excuse both as before.

--- a/extras/soak/ledger.cc
+++ b/extras/soak/ledger.cc
@@ -26,6 +26,10 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+auto IsPause(const FaultRecord& fault) -> bool {
+  return fault.name.rfind("pause", 0) == 0;
+}
+
 }  // namespace
 
 auto Ledger::Calm(std::size_t daemon, Seconds begin, Seconds end,
@@ -45,6 +49,7 @@
   CheckAnswers(lines);
   CheckEnds(end, lines);
   CheckStops(lines);
+  CheckStarts(end, lines);
   CheckLimits(lines);
   CheckKeys(lines);
   CheckProbes(lines);
@@ -219,6 +224,51 @@
   }
 }
 
+auto Ledger::ReadyDue(const StartRecord& start) const -> Seconds {
+  auto due = start.at + bounds.catch_up;
+  for (const auto& fault : faults) {
+    if (fault.daemon >= 0 &&
+        static_cast<std::size_t>(fault.daemon) != start.daemon) {
+      continue;
+    }
+    const bool delays = fault.scope == FaultScope::kStore ||
+                        fault.scope == FaultScope::kStoreLink || IsPause(fault);
+    if (!delays || fault.begin > due || fault.end < start.at) continue;
+    due = std::max(due, fault.end + bounds.catch_up);
+  }
+  return due;
+}
+
+auto Ledger::EndOf(const StartRecord& start) const -> Seconds {
+  auto end = std::numeric_limits<Seconds>::max();
+  for (const auto& fault : faults) {
+    const bool ends = fault.scope == FaultScope::kPlannedStop ||
+                      (fault.scope == FaultScope::kProcess && !IsPause(fault));
+    if (!ends || fault.daemon != static_cast<int>(start.daemon)) continue;
+    if (fault.begin >= start.at) end = std::min(end, fault.begin);
+  }
+  for (const auto& next : starts) {
+    if (next.daemon == start.daemon && next.at > start.at) {
+      end = std::min(end, next.at);
+    }
+  }
+  return end;
+}
+
+// A daemon that is started again becomes ready in time.
+auto Ledger::CheckStarts(Seconds end, Lines& lines) const -> void {
+  for (const auto& start : starts) {
+    const auto due = ReadyDue(start);
+    if (due >= std::min(end, EndOf(start))) continue;
+    if (start.ready_at >= 0 && start.ready_at <= due) continue;
+    lines.push_back("daemon d" + std::to_string(start.daemon + 1) +
+                    ", started at " + Text(start.at) + ", was " +
+                    (start.ready_at < 0 ? "never ready"
+                                        : "ready at " + Text(start.ready_at)) +
+                    " and is to be ready by " + Text(due));
+  }
+}
+
 // A removed key is refused by daemons to which nothing was done.
 auto Ledger::CheckKeys(Lines& lines) const -> void {
   for (const auto& removal : key_removals) {
@@ -228,7 +278,7 @@
       if (call.status / 100 != 2) continue;
       if (!Calm(call.daemon, removal.at, call.sent_at,
                 {FaultScope::kProcess, FaultScope::kPlannedStop,
-                 FaultScope::kStore})) {
+                 FaultScope::kStore, FaultScope::kStoreRestore})) {
         continue;
       }
       lines.push_back("request " + call.id + " was served " +
@@ -245,7 +295,7 @@
     if (probe.status != 404) continue;
     if (!Calm(probe.daemon, probe.written_at, probe.sent_at,
               {FaultScope::kProcess, FaultScope::kPlannedStop,
-               FaultScope::kStore})) {
+               FaultScope::kStore, FaultScope::kStoreRestore})) {
       continue;
     }
     lines.push_back("daemon d" + std::to_string(probe.daemon + 1) +
@@ -266,7 +316,7 @@
   for (const auto& order : sorted) {
     const bool thawed =
         std::any_of(faults.begin(), faults.end(), [&](const auto& fault) {
-          return fault.name.rfind("pause", 0) == 0 && order.at >= fault.begin &&
+          return IsPause(fault) && order.at >= fault.begin &&
                  order.at <= fault.end + bounds.thaw;
         });
     if (thawed) continue;
@@ -344,7 +394,7 @@
     if (crashes.size() < bounds.crashes) continue;
     if (!Calm(call->second->daemon, run.at, run.at,
               {FaultScope::kProcess, FaultScope::kPlannedStop,
-               FaultScope::kStore})) {
+               FaultScope::kStore, FaultScope::kStoreRestore})) {
       continue;
     }
     ++late;
--- a/extras/soak/ledger.h
+++ b/extras/soak/ledger.h
@@ -102,6 +102,8 @@
   kPlannedWork,
   // The store: what daemons know may be old, but requests are answered.
   kStore,
+  // The store was restored: what daemons know may be old, but it answers them.
+  kStoreRestore,
   // The link of a daemon to the store. What the others know reaches it.
   kStoreLink,
   // An upstream or the link to it: requests may fail, with an answer.
@@ -135,6 +137,14 @@
   int status = 0;
 };
 
+// A daemon's process that was started again.
+struct StartRecord {
+  std::size_t daemon = 0;
+  Seconds at = 0;
+  // When it first answered that it is ready; negative if it did not.
+  Seconds ready_at = -1;
+};
+
 // A key that was removed at `at`, as the store acknowledged it.
 struct KeyRemoval {
   std::string key;
@@ -166,6 +176,8 @@
   Seconds apply = 3;
   // A daemon is judged by time bounds when nothing was done to it for so long.
   Seconds contact = 4;
+  // A daemon is ready within this time after its start.
+  Seconds catch_up = 4;
   // An answer may be later than the caller's limit by this much.
   Seconds late = 1;
   // The grace period of a planned stop.
@@ -211,6 +223,7 @@
   std::vector<CallRecord> calls;
   std::vector<RunRecord> runs;
   std::vector<OrderRecord> orders;
+  // In the order of their begins.
   std::vector<FaultRecord> faults;
   std::vector<KeyRemoval> key_removals;
   std::vector<ProbeRecord> probes;
@@ -218,6 +231,7 @@
   std::vector<ArrivalRecord> arrivals;
   std::vector<StatementRecord> statements;
   std::vector<OwnEndRecord> own_ends;
+  std::vector<StartRecord> starts;
   std::map<std::string, AccountBound> accounts;
   LedgerBounds bounds;
 
@@ -244,6 +258,12 @@
   auto UpstreamFailed(const CallRecord& call,
                       const UpstreamIds& upstreams) const -> bool;
   auto CheckStops(Lines& lines) const -> void;
+  auto CheckStarts(Seconds end, Lines& lines) const -> void;
+  // When a daemon that was started has to be ready: faults of its store, its
+  // link and pauses begin its time anew.
+  auto ReadyDue(const StartRecord& start) const -> Seconds;
+  // When a daemon that was started is next told or made to end.
+  auto EndOf(const StartRecord& start) const -> Seconds;
   auto CheckLimits(Lines& lines) const -> void;
   auto CheckKeys(Lines& lines) const -> void;
   auto CheckProbes(Lines& lines) const -> void;
--- a/extras/soak/tests/ledger_tests.cc
+++ b/extras/soak/tests/ledger_tests.cc
@@ -341,6 +341,67 @@
   EXPECT_EQ(ledger.Broken(kEnd).size(), 2U);
 }
 
+class LedgerStartTest : public LedgerTest {
+ protected:
+  LedgerStartTest() { ledger_.starts = {{0, 10, -1}}; }
+};
+
+// Guards against a soak that does not notice a daemon that is not ready after a
+// start (FAULT).
+TEST_F(LedgerStartTest, FindsADaemonThatDoesNotBecomeReady) {
+  EXPECT_EQ(Count(), 1U);
+  EXPECT_EQ(ledger_.Broken(13.9).size(), 0U);
+  ledger_.starts[0].ready_at = 14.1;
+  EXPECT_EQ(Count(), 1U);
+  ledger_.starts[0].ready_at = 13.9;
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerStartTest, FaultsOfTheStoreAndPausesDelayWhenItIsDue) {
+  const std::vector<FaultRecord> delays{
+      {"store away", FaultScope::kStore, -1, 9, 12},
+      {"link to store 1", FaultScope::kStoreLink, 0, 13, 13.5},
+      {"pause", FaultScope::kProcess, 0, 11, 13}};
+  for (const auto& fault : delays) {
+    ledger_.faults = {fault};
+    ledger_.starts[0].ready_at = fault.end + 3.9;
+    EXPECT_EQ(Count(), 0U) << fault.name;
+    ledger_.starts[0].ready_at = fault.end + 4.1;
+    EXPECT_EQ(Count(), 1U) << fault.name;
+    ledger_.starts[0].ready_at = -1;
+    EXPECT_EQ(Count(), 1U) << fault.name;
+  }
+  // Faults that follow one another.
+  ledger_.faults = delays;
+  ledger_.starts[0].ready_at = 17.4;
+  EXPECT_EQ(Count(), 0U);
+}
+
+TEST_F(LedgerStartTest, OtherFaultsExcuseNothing) {
+  ledger_.starts[0].ready_at = 15;
+  ledger_.faults = {
+      {"store away", FaultScope::kStore, -1, 5, 9.9},
+      {"kill", FaultScope::kProcess, 0, 9, 12},
+      {"store restored twice", FaultScope::kStoreRestore, -1, 9, 17},
+      {"link to store 1", FaultScope::kStoreLink, 1, 10, 20},
+      {"reload", FaultScope::kPlannedWork, 0, 11, 11},
+      {"plain-1 is cut", FaultScope::kUpstream, -1, 11, 13, "plain-1"},
+      {"stop", FaultScope::kPlannedStop, 1, 11, 13},
+      {"store away", FaultScope::kStore, -1, 14.1, 16},
+      {"stop", FaultScope::kPlannedStop, 0, 14.5, 16}};
+  EXPECT_EQ(Count(), 1U);
+}
+
+TEST_F(LedgerStartTest, AcceptsADaemonThatWasEndedBefore) {
+  ledger_.faults = {{"stop", FaultScope::kPlannedStop, 0, 13, 15}};
+  EXPECT_EQ(Count(), 0U);
+  ledger_.faults = {{"kill", FaultScope::kProcess, 0, 13, 16}};
+  EXPECT_EQ(Count(), 0U);
+  ledger_.faults.clear();
+  ledger_.starts.push_back({0, 13, 13.1});
+  EXPECT_EQ(Count(), 0U);
+}
+
 // Guards against a stream that may not be resumed and runs twice.
 TEST(LedgerRunsTest, FindsAStreamThatRunsTwice) {
   Ledger ledger;
--- a/extras/soak/world.cc
+++ b/extras/soak/world.cc
@@ -13,6 +13,7 @@
 #include "platform/standins/platform_documents.h"
 #include "platform/standins/upstream_standin.h"
 #include "platform/wire/names.h"
+#include "soak/status_request.h"
 
 namespace dotterellug::soak {
 namespace {
@@ -21,6 +22,8 @@
 // Longer than the grace period.
 constexpr Seconds kCalmEnd = 10;
 constexpr Seconds kReadyTimeout = 15;
+// Between two questions whether a daemon is ready.
+constexpr Seconds kReadyPause = 0.1;
 // Mean time between two faults; several last at the same time.
 constexpr Seconds kFaultPause = 0.9;
 constexpr std::int64_t kLimitedRate = 20;
@@ -312,6 +315,19 @@
                         static_cast<int>(random_.Below(platform::kOddEntries)));
 }
 
+auto World::WatchStart(std::size_t index, std::size_t start) -> void {
+  if (daemons_[index]->started_at != ledger_.starts[start].at) return;
+  RequestStatus(loop_, daemons_[index]->readiness, platform::ReadinessRequest(),
+                [this, index, start](int status) {
+                  if (status == 200) {
+                    ledger_.starts[start].ready_at = Now();
+                    return;
+                  }
+                  After(kReadyPause,
+                        [this, index, start] { WatchStart(index, start); });
+                });
+}
+
 auto World::WatchProcesses() -> void {
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     auto& daemon = *daemons_[i];
@@ -327,23 +343,14 @@
 auto World::WaitUntilReady() -> Result<void> {
   std::size_t ready = 0;
   std::function<void(std::size_t)> ask = [&](std::size_t index) {
-    const auto connection = std::make_shared<eventhttp::ClientConnection>(
-        loop_, daemons_[index]->readiness);
-    const auto status = std::make_shared<int>(0);
-    eventhttp::ExchangeHandlers handlers;
-    handlers.on_head = [status](eventhttp::ResponseHead& head) {
-      *status = head.status;
-      return eventhttp::HeadVerdict::kAccept;
-    };
-    handlers.on_body = [](std::string_view) {};
-    handlers.on_end = [&, connection, status, index](eventhttp::ExchangeEnd) {
-      if (*status == 200) {
-        ++ready;
-      } else {
-        After(0.1, [&, index] { ask(index); });
-      }
-    };
-    connection->Exchange(platform::ReadinessRequest(), std::move(handlers));
+    RequestStatus(loop_, daemons_[index]->readiness,
+                  platform::ReadinessRequest(), [&, index](int status) {
+                    if (status == 200) {
+                      ++ready;
+                    } else {
+                      After(kReadyPause, [&, index] { ask(index); });
+                    }
+                  });
   };
   for (std::size_t i = 0; i < daemons_.size(); ++i) ask(i);
   const auto end = Now() + kReadyTimeout;
@@ -774,6 +781,8 @@
   const auto started_at = Now();
   daemons_[index]->ending = false;
   daemons_[index]->started_at = started_at;
+  ledger_.starts.push_back({index, started_at});
+  WatchStart(index, ledger_.starts.size() - 1);
   if (plan_.early_signals) SignalEarly(index);
   After(1.5, [this, index, started_at] {
     // It may have been stopped in its first moments.
@@ -810,29 +819,32 @@
   const auto backup = backups_[restore_random_.Below(backups_.size())].second;
   switch (restore_random_.Below(4)) {
     case 0:
-      Note("store restored within a change", FaultScope::kStore, -1,
+      Note("store restored within a change", FaultScope::kStoreRestore, -1,
            kRestoreEffect);
       store_.RestoreAtNextChange(platform::RestorePoint::kWithinChange, backup);
       break;
     case 1:
-      Note("store restored after a change", FaultScope::kStore, -1,
+      Note("store restored after a change", FaultScope::kStoreRestore, -1,
            kRestoreEffect);
       store_.RestoreAtNextChange(platform::RestorePoint::kAfterResponse,
                                  backup);
       break;
     case 2:
-      Note("store restored twice", FaultScope::kStore, -1, kRestoreEffect);
+      Note("store restored twice", FaultScope::kStoreRestore, -1,
+           kRestoreEffect);
       store_.Restore(backup);
       After(restore_random_.Uniform(),
             [this, backup] { store_.Restore(backup); });
       break;
     default: {
-      Note("store restored after an outage", FaultScope::kStore, -1,
+      Note("store restored after an outage", FaultScope::kStoreRestore, -1,
            kRestoreEffect);
       platform::StoreFaults away;
       away.away = true;
       store_.SetFaults(away);
-      After(restore_random_.Uniform(), [this, backup] {
+      const auto outage = restore_random_.Uniform();
+      Note("store away", FaultScope::kStore, -1, outage);
+      After(outage, [this, backup] {
         store_.Restore(backup);
         store_.SetFaults({});
       });
@@ -1008,6 +1020,15 @@
   for (const auto& [outcome, count] : outcomes) {
     text += outcome + ": " + std::to_string(count) + "; ";
   }
+  Seconds longest_start = 0;
+  for (const auto& start : ledger_.starts) {
+    longest_start = std::max(longest_start, start.ready_at - start.at);
+  }
+  char starts[96];
+  std::snprintf(starts, sizeof starts,
+                "%zu starts again, ready after at most %.3f s; ",
+                ledger_.starts.size(), longest_start);
+  text += starts;
   char lag[64];
   std::snprintf(lag, sizeof lag, "own loop at most %.3f s late", longest_lag_);
   text += lag;
--- a/extras/soak/world.h
+++ b/extras/soak/world.h
@@ -115,6 +115,8 @@
   auto DrawLoadTime(Upstream& upstream) -> void;
   // Notes how far this program's own loop lags behind its timers.
   auto WatchLag() -> void;
+  // Notes when a daemon becomes ready; `start` is the index of its start.
+  auto WatchStart(std::size_t index, std::size_t start) -> void;
   auto RestartWhenGone(std::size_t index) -> void;
   auto Restart(std::size_t index) -> void;
   auto HarmStore(Seconds duration) -> void;
