Let the soak's store have objects with names that others chose

Series of such objects overlap with the other faults, and outside planned work a daemon is killed in each. The draws have a generator of their own.

--- a/extras/soak/main.cc
+++ b/extras/soak/main.cc
@@ -28,6 +28,9 @@
 DEFINE_bool(changing_settings, false,
             "Also change settings files beside starts and reloads, and reload "
             "processes while they end.");
+DEFINE_bool(foreign_names, false,
+            "Also let another writer put and remove objects with odd names "
+            "among those that daemons list.");
 DEFINE_string(report, "", "Markdown file for the report; default: none.");
 DEFINE_string(work, "", "Folder for logs; default: a temporary one.");
 
@@ -80,6 +83,7 @@
     plan.restores = FLAGS_restores;
     plan.broken_answers = FLAGS_broken_answers;
     plan.changing_settings = FLAGS_changing_settings;
+    plan.foreign_names = FLAGS_foreign_names;
     dotterellug::soak::World world(plan);
     const auto ran = world.Run();
     if (!ran) {
--- a/extras/soak/world.cc
+++ b/extras/soak/world.cc
@@ -45,6 +45,13 @@
 constexpr Seconds kOldestBackup = 6;
 constexpr Seconds kRestorePause = 6;
 constexpr Seconds kBreakPause = 3;
+constexpr Seconds kForeignPause = 1.5;
+// Objects of another writer come within the first time, stay longer than a
+// daemon may take to become ready, and go within the same time again.
+constexpr Seconds kForeignChange = 2;
+constexpr Seconds kForeignStay = 10;
+constexpr double kForeignPart = 0.75;
+constexpr std::size_t kMostPageSize = 4;
 constexpr double kBrokenPart = 0.3;
 constexpr double kUploadPart = 0.2;
 // Until the operator writes the configuration again.
@@ -140,8 +147,13 @@
       settings_random_(plan_.seed + 8),
       restore_random_(plan_.seed + 6),
       break_random_(plan_.seed + 7),
+      foreign_random_(plan_.seed + 9),
       hostile_(loop_, plan_.seed + 2) {
   if (plan_.restores) store_.StateEpoch(1);
+  if (plan_.foreign_names) {
+    page_size_ = 1 + foreign_random_.Below(kMostPageSize);
+    store_.SetPageSize(page_size_);
+  }
   callers_.models = kModels;
   callers_.patient_model = kPatientModel;
   callers_.keys = {{"open", "key-open"}, {"limited", "key-limited"}};
@@ -315,6 +327,27 @@
                         static_cast<int>(random_.Below(platform::kOddEntries)));
 }
 
+auto World::DrawForeignNames() -> void {
+  const auto kinds = platform::ListedKinds();
+  const auto kind = kinds[foreign_random_.Below(kinds.size())];
+  Note("foreign names in " + kind, FaultScope::kPlannedWork, -1,
+       kForeignStay + kForeignChange);
+  for (const auto& name : platform::ForeignNames()) {
+    if (foreign_random_.Uniform() > kForeignPart) continue;
+    const auto form = foreign_random_.Below(platform::kForeignForms);
+    After(kForeignChange * foreign_random_.Uniform(), [this, kind, name, form] {
+      platform::PutForeignObject(store_, kind, name, static_cast<int>(form));
+    });
+    After(kForeignStay + kForeignChange * foreign_random_.Uniform(),
+          [this, kind, name] { store_.Remove(kind, name); });
+  }
+  // Planned work alone must go unnoticed, which a kill does not.
+  const auto index = foreign_random_.Below(daemons_.size());
+  if (plan_.seed % kPlannedWorkSeeds == 0) return;
+  After(kForeignChange * (1 + foreign_random_.Uniform()),
+        [this, index] { KillDaemon(index); });
+}
+
 auto World::WatchStart(std::size_t index, std::size_t start) -> void {
   if (daemons_[index]->started_at != ledger_.starts[start].at) return;
   RequestStatus(loop_, daemons_[index]->readiness, platform::ReadinessRequest(),
@@ -414,6 +447,12 @@
     callers_.upload_part = kUploadPart;
     After(kCalmBegin, next_break);
   }
+  std::function<void()> next_foreign = [&] {
+    if (Now() > faults_end) return;
+    DrawForeignNames();
+    After(kForeignPause * 2 * foreign_random_.Uniform(), next_foreign);
+  };
+  if (plan_.foreign_names) After(kCalmBegin, next_foreign);
   if (plan_.seed % kSeedsWithoutBadPart != 0) {
     After(kBadPartBegin, [this] { BeginBadPart(); });
   }
@@ -1029,6 +1068,9 @@
                 "%zu starts again, ready after at most %.3f s; ",
                 ledger_.starts.size(), longest_start);
   text += starts;
+  if (plan_.foreign_names) {
+    text += "pages of " + std::to_string(page_size_) + "; ";
+  }
   char lag[64];
   std::snprintf(lag, sizeof lag, "own loop at most %.3f s late", longest_lag_);
   text += lag;
--- a/extras/soak/world.h
+++ b/extras/soak/world.h
@@ -46,6 +46,9 @@
   // Also write settings files in two steps, while processes start or before
   // they are reloaded, and reload processes in a series as they end.
   bool changing_settings = false;
+  // Also let another writer put and remove objects with odd names among those
+  // that daemons list.
+  bool foreign_names = false;
 };
 
 // One run: daemons as processes of their own, the store and upstreams in this
@@ -115,6 +118,9 @@
   auto DrawLoadTime(Upstream& upstream) -> void;
   // Notes how far this program's own loop lags behind its timers.
   auto WatchLag() -> void;
+  // Objects of another writer come and go in one kind, and a daemon may be
+  // killed meanwhile.
+  auto DrawForeignNames() -> void;
   // Notes when a daemon becomes ready; `start` is the index of its start.
   auto WatchStart(std::size_t index, std::size_t start) -> void;
   auto RestartWhenGone(std::size_t index) -> void;
@@ -168,6 +174,7 @@
   Random settings_random_;
   Random restore_random_;
   Random break_random_;
+  Random foreign_random_;
   // Backups of the last seconds, with their times.
   std::deque<std::pair<Seconds, platform::StoreStandin::Backup>> backups_;
   HostileCallers hostile_;
@@ -182,6 +189,8 @@
   Duration plain_timeout_ = std::chrono::seconds(2);
   int upstream_number_ = 0;
   int former_number_ = 0;
+  // Objects on one page of the store's lists, with foreign names.
+  std::size_t page_size_ = 0;
   Seconds longest_lag_ = 0;
 };
 
