Let the object API's stand-in read targets as HTTP servers do

A client that wrote names into targets as they are would have passed all tests: libmicrohttpd lets a number sign and an incomplete escape through as plain text.

The stand-ins' server now reads the target itself: what follows a number sign is no part of it, and an incomplete escape gets 400. The reader comes from the stand-in of the platform's store and is in core beside RequestTarget, so that both stand-ins read alike.

Evidence: with the server as before, ObjectApiServerTest.ReadsTargetsAsHttpServersDo fails in 3 of 5 expectations; it passes now.

--- a/extras/standins/common/http_server.cc
+++ b/extras/standins/common/http_server.cc
@@ -6,6 +6,8 @@
 
 #include <utility>
 
+#include "core/net/target_reader.h"
+
 namespace dotterellug::standins {
 namespace {
 
@@ -13,11 +15,24 @@
 // with six characters, and some room.
 constexpr std::size_t kMaxBodyBytes = 7'000'000;
 
-auto AddQueryParameter(void* cls, enum MHD_ValueKind /*kind*/, const char* key,
-                       const char* value) -> MHD_Result {
-  auto& query = *static_cast<std::map<std::string, std::string>*>(cls);
-  query[key] = value == nullptr ? "" : value;
-  return MHD_YES;
+struct Exchange {
+  HttpRequest request;
+  bool has_target = false;
+  bool has_head = false;
+};
+
+// libmicrohttpd would let through targets that no HTTP client may send.
+auto OnTarget(void* /*cls*/, const char* text, MHD_Connection* /*connection*/)
+    -> void* {
+  auto exchange = std::make_unique<Exchange>();
+  if (auto target = ParseTarget(text)) {
+    exchange->has_target = true;
+    for (const auto& segment : target->segments) {
+      exchange->request.path += "/" + segment;
+    }
+    exchange->request.query = std::move(target->fields);
+  }
+  return exchange.release();
 }
 
 auto Respond(MHD_Connection* connection, const HttpReply& reply) -> MHD_Result {
@@ -32,26 +47,27 @@
   return result;
 }
 
-auto OnAccess(void* cls, MHD_Connection* connection, const char* url,
+auto OnAccess(void* cls, MHD_Connection* connection, const char* /*path*/,
               const char* method, const char* /*version*/,
               const char* upload_data, std::size_t* upload_data_size,
               void** request_cls) -> MHD_Result {
-  if (*request_cls == nullptr) {
-    auto request = std::make_unique<HttpRequest>();
-    request->method = method;
-    request->path = url;
-    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
-                              &AddQueryParameter, &request->query);
-    *request_cls = request.release();
+  auto& exchange = *static_cast<Exchange*>(*request_cls);
+  auto& request = exchange.request;
+  if (!std::exchange(exchange.has_head, true)) {
+    request.method = method;
     return MHD_YES;
   }
-  auto& request = *static_cast<HttpRequest*>(*request_cls);
   if (*upload_data_size > 0) {
     if (request.body.size() + *upload_data_size > kMaxBodyBytes) return MHD_NO;
     request.body.append(upload_data, *upload_data_size);
     *upload_data_size = 0;
     return MHD_YES;
   }
+  if (!exchange.has_target) {
+    return Respond(connection,
+                   {400, R"({"error":{"type":"invalid_argument",)"
+                         R"("message":"malformed request target"}})"});
+  }
   return Respond(connection,
                  static_cast<const HttpServer*>(cls)->Handle(request));
 }
@@ -59,8 +75,8 @@
 auto OnCompleted(void* /*cls*/, MHD_Connection* /*connection*/,
                  void** request_cls, enum MHD_RequestTerminationCode /*code*/)
     -> void {
-  const std::unique_ptr<HttpRequest> request(
-      static_cast<HttpRequest*>(*request_cls));
+  const std::unique_ptr<Exchange> exchange(
+      static_cast<Exchange*>(*request_cls));
   *request_cls = nullptr;
 }
 
@@ -86,6 +102,7 @@
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, port,
       nullptr, nullptr, &OnAccess, server.get(), MHD_OPTION_SOCK_ADDR, &address,
       MHD_OPTION_NOTIFY_COMPLETED, &OnCompleted, nullptr,
+      MHD_OPTION_URI_LOG_CALLBACK, &OnTarget, nullptr,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
   if (server->daemon_ == nullptr) {
     return Fail(ErrorKind::kUnavailable,
--- a/extras/standins/common/http_server.h
+++ b/extras/standins/common/http_server.h
@@ -12,6 +12,8 @@
 
 namespace dotterellug::standins {
 
+// A request whose target was read as HTTP servers do: decoded, a plus sign in
+// the query as a blank, and without what follows a number sign.
 struct HttpRequest {
   std::string method;
   std::string path;
@@ -31,7 +33,8 @@
 };
 
 // A small HTTP/1.1 server for stand-ins, with one thread per connection, so
-// that a handler may wait. Stops and joins all threads when destroyed.
+// that a handler may wait. Answers 400 to a target that cannot be read. Stops
+// and joins all threads when destroyed.
 class HttpServer {
  public:
   using Handler = std::function<HttpReply(const HttpRequest&)>;
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -14,6 +14,7 @@
 #include "core/net/request_target.h"
 #include "core/net/socket_address.h"
 #include "core/net/status_code.h"
+#include "core/net/target_reader.h"
 #include "core/priority/priority_class.h"
 #include "core/process/control_signals.h"
 #include "core/random/random.h"
--- a/platform/standins/target_reader.cc
+++ b/modules/core/net/target_reader.cc
@@ -1,10 +1,11 @@
-#include "platform/standins/target_reader.h"
+#include "core/net/target_reader.h"
 
 #include <algorithm>
+#include <utility>
 
-#include "core/core.h"
+#include "core/text/percent_encoding.h"
 
-namespace dotterellug::platform {
+namespace dotterellug {
 namespace {
 
 auto Split(std::string_view text, char separator)
@@ -54,4 +55,4 @@
   return read;
 }
 
-}  // namespace dotterellug::platform
+}  // namespace dotterellug
--- a/platform/standins/target_reader.h
+++ b/modules/core/net/target_reader.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace dotterellug::platform {
+namespace dotterellug {
 
 // A request target as an HTTP server reads it.
 struct ReadTarget {
@@ -24,4 +24,4 @@
 // escape is incomplete or the path does not begin with a slash.
 auto ParseTarget(std::string_view target) -> std::optional<ReadTarget>;
 
-}  // namespace dotterellug::platform
+}  // namespace dotterellug
--- a/modules/store/tests/contract_tests.cc
+++ b/modules/store/tests/contract_tests.cc
@@ -1,6 +1,7 @@
 // One table of fault cases that every implementation of the object store port
 // passes: the in-memory store, and the HTTP adapter with the stand-in.
 
+#include <cxxtools/http/client.h>
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -51,6 +52,7 @@
     return ObjectStore(
         HttpObjectStore({"127.0.0.1", server_->Port(), kPatient, timeout}));
   }
+  auto Port() const -> std::uint16_t { return server_->Port(); }
   auto AddFault(FaultRule rule) -> void {
     Json json{{"fault", FaultKindName(rule.fault)},
               {"prefix", rule.prefix},
@@ -285,6 +287,25 @@
   EXPECT_EQ(seen->events.size(), 1U);
 }
 
+// Guards against a stand-in that reads targets more leniently than an HTTP
+// server, so that a client's mistake goes unseen.
+TEST(ObjectApiServerTest, ReadsTargetsAsHttpServersDo) {
+  HttpFixture fixture;
+  auto store = fixture.Connect();
+  for (const auto* name : {"p", "q"}) {
+    ASSERT_TRUE(store.Put(name, "1", kAbsent));
+  }
+  const auto status = [&](const std::string& target) {
+    cxxtools::http::Client client("127.0.0.1", fixture.Port());
+    return client.get(target), client.header().httpReturnCode();
+  };
+  EXPECT_EQ(status("/v1/objects/%70"), 200U);
+  EXPECT_EQ(status("/v1/objects/p#z"), 200U);
+  EXPECT_EQ(status("/v1/objects/p%"), 400U);
+  EXPECT_EQ(status("/v1/list?prefix=%7"), 400U);
+  EXPECT_EQ(status("/v1/list?prefix=p+q"), 200U);
+}
+
 // Guards against a stand-in that accepts more than the platform.
 TEST(ObjectApiServerTest, RejectsCallsBeyondTheRate) {
   standins::ObjectApiServer api(standins::ObjectApiRates{2, 2});
