Reject fleet messages with texts that are not UTF-8

nlohmann::json reads CBOR texts with any bytes and throws when it writes them as JSON. The usage of client accounts goes from daemons' reports into the store and the platform's calls, on the event loop: a report with an account that is not UTF-8, from any process that reaches the peers' port, would end the daemon that holds the duty (by reading: nothing catches it there).

The check of a message's shape now covers its texts, as RFC 8949, 3.1 asks, so that no id of a report can throw later. Daemons' own ids come from JSON or are checked when a request is read.

Evidence: without the check FleetCodecTest.RejectsTextsThatAreNotUtf8 fails at the first of its 4 names; all pass now.

--- a/modules/core/text/cbor_shape.h
+++ b/modules/core/text/cbor_shape.h
@@ -5,16 +5,19 @@
 #include <cstdint>
 #include <string_view>
 
+#include "core/text/utf8.h"
+
 namespace dotterellug {
 
 // Deepest nesting of a message between daemons that is read.
 inline constexpr std::size_t kMaxCborDepth = 32;
 
 // Whether `bytes` begin with one CBOR value as daemons write it: every length
-// is stated, nothing is tagged, and arrays and maps are nested at most
-// kMaxCborDepth deep. A parser that descends by recursion needs no more stack
-// than that allows; RFC 8949 lets text without a stated length nest without
-// end. What numbers and texts say is not checked.
+// is stated, nothing is tagged, texts are UTF-8 (RFC 8949, 3.1), and arrays and
+// maps are nested at most kMaxCborDepth deep. A parser that descends by
+// recursion needs no more stack than that allows; RFC 8949 lets text without a
+// stated length nest without end. What numbers and texts say is not checked.
+// Texts that are not UTF-8 would be read, but could not be written as JSON.
 inline auto HasCborShape(std::string_view bytes) -> bool {
   constexpr int kMajorShift = 5;
   constexpr unsigned kInformation = 31;
@@ -47,6 +50,7 @@
     }
     if (major == kBytes || major == kText) {
       if (argument > bytes.size()) return false;
+      if (major == kText && !IsUtf8(bytes.substr(0, argument))) return false;
       bytes.remove_prefix(argument);
     } else if (major == kArray || major == kMap) {
       // Each value takes a byte at least.
--- a/modules/fleet/tests/fleet_tests.cc
+++ b/modules/fleet/tests/fleet_tests.cc
@@ -266,6 +266,22 @@
   }
 }
 
+// Guards against names of another writer that are not UTF-8 and end the process
+// where they are written as JSON, such as in the usage of client accounts.
+TEST(FleetCodecTest, RejectsTextsThatAreNotUtf8) {
+  auto report = MakeReport(1, 7, 100);
+  for (const std::string name : {"\xc3\xa9", "a00%#", "a\r\nb", ""}) {
+    report.from = InstanceId(name);
+    EXPECT_TRUE(DecodeFleetMessage(EncodeFleetMessage(report))) << name;
+  }
+  for (const std::string name : {"\xff", "a\xc3", "\xed\xa0\x80", "\xc0\xaf"}) {
+    report.from = InstanceId(name);
+    const auto message = DecodeFleetMessage(EncodeFleetMessage(report));
+    ASSERT_FALSE(message);
+    EXPECT_EQ(message.error().kind, ErrorKind::kProtocol);
+  }
+}
+
 // Guards against exceeding an account limit when daemons change hubs, hubs are
 // partitioned from one another, and grants are lost.
 TEST(FleetHubTest, GrantsOfAllHubsStayWithinLimit) {
