Log any bytes also in the text format

The text format of the state log threw for a value that is not UTF-8, such as the message of an error that cites a peer's bytes; nothing catches it. The JSON format replaced such bytes already. Both formats now do.

Evidence: StateLogTest.ValuesMayHaveAnyBytes ended with type_error.316 before; it passes now.

--- a/modules/telemetry/logging/state_log.cc
+++ b/modules/telemetry/logging/state_log.cc
@@ -36,6 +36,12 @@
   return "error";
 }
 
+// Texts of others may not be UTF-8, for which dump() throws otherwise.
+template <class Json>
+auto ToText(const Json& json) -> std::string {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 auto JsonLine(const LogOptions& options, LogSeverity severity,
               const std::string& time, const std::string& message,
               const std::vector<LogField>& fields) -> std::string {
@@ -45,8 +51,7 @@
   line["instance"] = options.instance;
   line["message"] = message;
   for (const auto& field : fields) line[field.name] = field.value;
-  return line.dump(-1, ' ', false,
-                   nlohmann::ordered_json::error_handler_t::replace);
+  return ToText(line);
 }
 
 }  // namespace
@@ -70,7 +75,7 @@
   std::string line = time + " " + std::string(SeverityName(severity)) + " " +
                      options.instance + " " + message;
   for (const auto& field : fields) {
-    line += " " + field.name + "=" + nlohmann::json(field.value).dump();
+    line += " " + field.name + "=" + ToText(nlohmann::json(field.value));
   }
   return line;
 }
--- a/modules/telemetry/tests/telemetry_tests.cc
+++ b/modules/telemetry/tests/telemetry_tests.cc
@@ -37,19 +37,36 @@
   EXPECT_EQ(limit.Bound("a"), "a");
 }
 
+// A line with the field `reason`, as text and as JSON.
+auto LinesWith(const std::string& reason) -> std::vector<std::string> {
+  std::vector<std::string> lines;
+  for (const bool json : {false, true}) {
+    LogOptions options;
+    options.instance = "i1";
+    options.json = json;
+    lines.push_back(FormatLogLine(options, LogSeverity::kInfo, "T", "down",
+                                  {{"reason", reason}}));
+  }
+  return lines;
+}
+
 // Guards against log lines that break the format when a value has quotes or
 // line ends.
 TEST(StateLogTest, ValuesAreEscapedInBothFormats) {
-  const std::vector<LogField> fields{{"reason", "a \"b\"\nc"}};
-  LogOptions options;
-  options.instance = "i1";
-  EXPECT_EQ(FormatLogLine(options, LogSeverity::kInfo, "T", "down", fields),
-            "T info i1 down reason=\"a \\\"b\\\"\\nc\"");
-  options.json = true;
-  EXPECT_EQ(FormatLogLine(options, LogSeverity::kInfo, "T", "down", fields),
+  const auto lines = LinesWith("a \"b\"\nc");
+  EXPECT_EQ(lines[0], "T info i1 down reason=\"a \\\"b\\\"\\nc\"");
+  EXPECT_EQ(lines[1],
             "{\"time\":\"T\",\"level\":\"info\",\"instance\":\"i1\","
             "\"message\":\"down\",\"reason\":\"a \\\"b\\\"\\nc\"}");
 }
 
+// Guards against a process that ends because it logs text of others that is not
+// UTF-8.
+TEST(StateLogTest, ValuesMayHaveAnyBytes) {
+  for (const auto& line : LinesWith(std::string("a\xff\0", 3))) {
+    EXPECT_NE(line.find("\"a\xef\xbf\xbd\\u0000\""), std::string::npos) << line;
+  }
+}
+
 }  // namespace
 }  // namespace dotterellug
