Do not throw on an error body with a member of another type

An error response of the object API whose "type" or "message" is no text, as an intermediary may send, threw type_error.302 out of reads and updates: nlohmann's value() has its default only for a missing member. Nothing catches it in the control thread, so the daemon would end.

Such a type now counts as none, and such a message as missing.

Evidence: HttpObjectStoreTest.UnexpectedResponses, with two cases more, ended with the exception before; it passes now.

--- a/modules/store/http/http_object_store.cc
+++ b/modules/store/http/http_object_store.cc
@@ -75,6 +75,15 @@
   return Fail(kind, std::move(message), RemedyFor(kind));
 }
 
+// The member `name` if it is a text, else `otherwise`; unlike Json::value it
+// does not throw for another type.
+auto TextOf(const Json& object, const char* name, const char* otherwise)
+    -> std::string {
+  const auto found = object.find(name);
+  const bool is_text = found != object.end() && found->is_string();
+  return is_text ? found->get<std::string>() : otherwise;
+}
+
 // The failure that an error response states. A body without error kind may
 // come from an intermediary, which does not know whether the request was done.
 auto StatedFailure(unsigned status, const std::string& body)
@@ -85,10 +94,10 @@
     return std::nullopt;
   }
   const auto& error = json["error"];
-  if (!error.is_object() || error.value("type", "") != ErrorKindName(*kind)) {
+  if (!error.is_object() || TextOf(error, "type", "") != ErrorKindName(*kind)) {
     return std::nullopt;
   }
-  return Error{*kind, error.value("message", "no message"), RemedyFor(*kind)};
+  return Error{*kind, TextOf(error, "message", "no message"), RemedyFor(*kind)};
 }
 
 // Whether cxxtools could not connect, so that no byte of the request left. It
