Read the part in DELETE /quarantine/PART as HTTP servers do

Clients choose the ids of prompt parts, and the page took the text behind the slash as it came: a part with a blank, a percent sign or a byte beyond ASCII, as curl sends it, got 404, so that operators could not release it. Other paths that begin with /quarantine got 400.

The page now reads its target with ParseTarget and asks for the part percent- encoded. A slash within a part may also stand as it is.

--- a/daemon/gateway/quarantine_page.cc
+++ b/daemon/gateway/quarantine_page.cc
@@ -1,6 +1,9 @@
 #include "daemon/gateway/quarantine_page.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
+
+#include "core/net/target_reader.h"
 
 namespace dotterellug::gateway {
 namespace {
@@ -29,6 +32,27 @@
   return part;
 }
 
+// What a request asks of this page.
+struct PageRequest {
+  // Empty for the whole list.
+  PromptPartId part;
+};
+
+// Nothing if the target is another page's. A part may have any characters,
+// since clients choose it: callers percent-encode it.
+auto ParsePageRequest(std::string_view text) -> std::optional<PageRequest> {
+  const auto target = ParseTarget(text);
+  if (!target || "/" + target->segments.front() != kQuarantinePath) {
+    return std::nullopt;
+  }
+  std::string part;
+  for (std::size_t i = 1; i < target->segments.size(); ++i) {
+    if (i > 1) part += '/';
+    part += target->segments[i];
+  }
+  return PageRequest{PromptPartId(part)};
+}
+
 }  // namespace
 
 auto QuarantineJson(const GatewayContext& context, Timestamp now)
@@ -45,22 +69,20 @@
     GatewayContext& context,
     const std::shared_ptr<eventhttp::ServerSession>& session,
     const eventhttp::ServerRequest& request, Timestamp now) -> bool {
-  const std::string_view target = request.head.target;
-  if (target.substr(0, kQuarantinePath.size()) != kQuarantinePath) return false;
-  const auto rest = target.substr(kQuarantinePath.size());
+  const auto asked = ParsePageRequest(request.head.target);
+  if (!asked) return false;
   const eventhttp::HeaderFields json{{"Content-Type", "application/json"}};
-  if (rest.empty() && request.head.method == "GET") {
+  if (asked->part.Empty() && request.head.method == "GET") {
     session->Respond(200, json, QuarantineJson(context, now));
     return true;
   }
-  if (rest.size() < 2 || rest.front() != '/' ||
-      request.head.method != "DELETE") {
+  if (asked->part.Empty() || request.head.method != "DELETE") {
     session->Respond(
         400, json,
         R"({"error":"use GET /quarantine or DELETE /quarantine/ID"})");
     return true;
   }
-  const PromptPartId part{std::string(rest.substr(1))};
+  const auto& part = asked->part;
   if (context.quarantine.FindQuarantined({part}) == nullptr) {
     session->Respond(404, json,
                      R"({"error":"not quarantined; see GET /quarantine"})");
