Take a lease record with fields of other types for unreadable

The record of the placement lease in the object API may have been written by somebody else. A field of another type threw type_error.302 in the control thread, where nothing catches it (by reading), so every daemon that reads the record would end.

Such a record now counts as unreadable, as text that is no JSON did before.

--- a/daemon/control/placement_lease_keeper.cc
+++ b/daemon/control/placement_lease_keeper.cc
@@ -8,6 +8,27 @@
 constexpr const char* kObject = "owner/placement";
 constexpr Duration kRenewInterval = std::chrono::milliseconds(1500);
 
+struct LeaseRecord {
+  MemberId owner;
+  Term term;
+  std::int64_t renewal = 0;
+};
+
+// Nothing if the text is no record, such as one of another writer.
+auto ParseRecord(const std::string& text) -> std::optional<LeaseRecord> {
+  // nlohmann::json throws on wrong types.
+  try {
+    const auto json = nlohmann::json::parse(text);
+    return LeaseRecord{
+        MemberId{InstanceId(json.value("instance", "")),
+                 Incarnation(json.value("incarnation", std::int64_t{0}))},
+        Term(json.value("term", std::int64_t{0})),
+        json.value("renewal", std::int64_t{0})};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 auto PlacementLeaseKeeper::Lease(Timestamp now) const
@@ -42,26 +63,24 @@
     version_ = kAbsent;
     return true;
   }
-  const auto json = nlohmann::json::parse(object->value, nullptr, false);
-  if (!json.is_object()) return false;
+  const auto record = ParseRecord(object->value);
+  if (!record) return false;
   if (object->version < version_) return true;
   version_ = object->version;
   observer_.Observe(object->version, asked_at);
-  owner_ = MemberId{InstanceId(json.value("instance", "")),
-                    Incarnation(json.value("incarnation", std::int64_t{0}))};
-  const Term term(json.value("term", std::int64_t{0}));
+  owner_ = record->owner;
   const bool mine = *owner_ == self_;
-  if (mine && json.value("renewal", std::int64_t{0}) == renewal_) {
+  if (mine && record->renewal == renewal_) {
     holder_.ConfirmRenewal();
     holding_ = true;
-    term_ = term;
+    term_ = record->term;
     return true;
   }
   if (holding_ && !mine) {
     holding_ = false;
     holder_.Release();
   }
-  if (!holding_) term_ = term;
+  if (!holding_) term_ = record->term;
   return true;
 }
 
