Refuse an edit whose author or reason is not UTF-8

Texts of sections are checked by the port already.

Commit now refuses such an edit before it writes anything, and says which text it is.

Evidence: RevisionTest.TextsOfAnEditAreUtf8 ended with type_error.316 before; it passes now.

--- a/modules/revision/commit/revision_repository.cc
+++ b/modules/revision/commit/revision_repository.cc
@@ -1,8 +1,11 @@
 #include "revision/commit/revision_repository.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
+#include "core/text/utf8.h"
 #include "revision/content/content_digest.h"
 #include "revision/content/text_chunks.h"
 
@@ -20,6 +23,21 @@
   return tl::unexpected<Error>(error);
 }
 
+// Revisions are written as JSON, which holds no other text.
+auto CheckTexts(const Edit& edit) -> Result<void> {
+  const std::array<std::pair<const char*, std::string_view>, 3> texts{
+      {{"id", edit.id.Value()},
+       {"author", edit.author},
+       {"reason", edit.reason}}};
+  for (const auto& [name, text] : texts) {
+    if (IsUtf8(text)) continue;
+    return Fail(ErrorKind::kInvalidArgument,
+                std::string("the ") + name + " of the edit is not valid UTF-8",
+                "write it in UTF-8");
+  }
+  return {};
+}
+
 auto FindText(const SectionTexts& texts, const SectionName& section)
     -> std::optional<std::string> {
   const auto found = texts.find(section);
@@ -101,6 +119,8 @@
 auto RevisionRepository::Commit(const Edit& edit,
                                 const ValidateDocument& validate)
     -> Result<CommitOutcome> {
+  const auto checked = CheckTexts(edit);
+  if (!checked) return Forward(checked.error());
   CommitProgress progress;
   for (int i = 0; i < kCommitAttempts; ++i) {
     auto attempt = TryCommit(edit, validate, progress);
--- a/modules/revision/tests/revision_tests.cc
+++ b/modules/revision/tests/revision_tests.cc
@@ -170,6 +170,23 @@
   EXPECT_EQ(third.number, RevisionNumber(3));
 }
 
+// Guards against a command that ends without a message, since its author typed
+// a reason in another encoding.
+TEST_F(RevisionTest, TextsOfAnEditAreUtf8) {
+  for (const auto member : {&Edit::author, &Edit::reason}) {
+    auto edit = MakeEdit("e1", {}, kModels, "m1");
+    edit.*member = "caf\xe9";
+    const auto outcome = repository_.Commit(edit, Accept);
+    ASSERT_FALSE(outcome.has_value());
+    EXPECT_EQ(outcome.error().kind, ErrorKind::kInvalidArgument);
+    edit.*member = "caf\xc3\xa9 \"\n%#";
+    EXPECT_TRUE(repository_.Commit(edit, Accept).has_value());
+  }
+  const auto named = MakeEdit("e\xff", {}, kModels, "m1");
+  EXPECT_EQ(repository_.Commit(named, Accept).error().kind,
+            ErrorKind::kInvalidArgument);
+}
+
 // Guards against content from a peer that is not what its name stands for.
 TEST_F(RevisionTest, ContentFromPeersIsVerified) {
   const auto ref = Commit(MakeEdit("e1", {}, kModels, "m1")).revision;
